--- /dev/null
+++ b/cmake/Peridot.cmake
@@ -0,0 +1,24 @@
+# peridot_library(name SOURCES... DEPENDS...): a static library in libs/<name> with its public headers in include/.
+function(peridot_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_library(${name} STATIC ${ARG_SOURCES})
+  target_include_directories(${name} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/include)
+  target_link_libraries(${name} PUBLIC ${ARG_DEPENDS})
+endfunction()
+
+# peridot_test(name SOURCES... DEPENDS...): one CppUnit program run by ctest.
+function(peridot_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/tests/support/CppUnitMain.cpp)
+  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} PkgConfig::CPPUNIT)
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+endfunction()
+
+# peridot_program(name SOURCES... DEPENDS...): a program in build/bin.
+function(peridot_program name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
+  target_compile_definitions(${name} PRIVATE PERIDOT_VERSION="${PROJECT_VERSION}")
+endfunction()
--- /dev/null
+++ b/libs/base/include/base/EventLog.h
@@ -0,0 +1,43 @@
+// Where the decision libraries write their log lines. The daemon passes spdlog, tests keep the lines or drop them.
+
+#pragma once
+
+#include "base/LogLine.h"
+
+#include <string>
+#include <vector>
+
+namespace peridot {
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+class EventLog {
+public:
+    virtual ~EventLog() = default;
+    virtual bool isEnabled(LogLevel) const noexcept = 0;
+    virtual void write(LogLevel, const LogLine&) = 0;
+};
+
+/** Drops every line. */
+class NullEventLog final : public EventLog {
+public:
+    bool isEnabled(LogLevel) const noexcept override { return false; }
+    void write(LogLevel, const LogLine&) override { }
+};
+
+/** Writes to spdlog's default logger. Thread-safe. */
+class SpdlogEventLog final : public EventLog {
+public:
+    bool isEnabled(LogLevel) const noexcept override;
+    void write(LogLevel, const LogLine&) override;
+};
+
+/** Sets up spdlog's default logger: one line per event on standard error with time and level. */
+void configureLogging(const std::string& program, LogLevel lowest);
+
+}
--- /dev/null
+++ b/libs/config/include/config/Messages.h
@@ -0,0 +1,22 @@
+// Messages by which instances hand configuration versions to each other, so that store reads do not grow with the
+// number of instances.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace peridot {
+
+struct ConfigurationPull {
+    std::uint64_t sequence = 0;
+    std::uint64_t haveVersion = 0; // The answer may be empty if the peer knows nothing newer.
+};
+
+struct ConfigurationObject {
+    std::uint64_t sequence = 0;
+    std::uint64_t version = 0;
+    std::string body; // The JSON text of the version; empty if there is nothing newer.
+};
+
+}
