--- a/peridot/include/peridot/Node.h
+++ b/peridot/include/peridot/Node.h
@@ -41,7 +41,7 @@
     Duration timeout = std::chrono::seconds { 30 };
 };
 
-enum class BackendOutcomeKind {
+enum class DispatchOutcomeKind {
     Completed, // A whole response arrived.
     Shed, // The server refused before running the request.
     NotSent, // No byte of the request left.
@@ -51,17 +51,17 @@
 };
 
 template <>
-inline constexpr EnumNameTable<BackendOutcomeKind, 6> enumNames<BackendOutcomeKind> { {
-    { BackendOutcomeKind::Completed, "completed" },
-    { BackendOutcomeKind::Shed, "shed" },
-    { BackendOutcomeKind::NotSent, "not_sent" },
-    { BackendOutcomeKind::Failed, "failed" },
-    { BackendOutcomeKind::TimedOut, "timed_out" },
-    { BackendOutcomeKind::Cancelled, "cancelled" },
+inline constexpr EnumNameTable<DispatchOutcomeKind, 6> enumNames<DispatchOutcomeKind> { {
+    { DispatchOutcomeKind::Completed, "completed" },
+    { DispatchOutcomeKind::Shed, "shed" },
+    { DispatchOutcomeKind::NotSent, "not_sent" },
+    { DispatchOutcomeKind::Failed, "failed" },
+    { DispatchOutcomeKind::TimedOut, "timed_out" },
+    { DispatchOutcomeKind::Cancelled, "cancelled" },
 } };
 
-struct BackendOutcome {
-    BackendOutcomeKind kind = BackendOutcomeKind::Completed;
+struct DispatchOutcome {
+    DispatchOutcomeKind kind = DispatchOutcomeKind::Completed;
     Duration latency { 0 };
     Duration retryAfter { 0 }; // As a shedding server states it.
     std::uint64_t responseBytes = 0;
@@ -82,20 +82,20 @@
     std::string clientAddress;
 };
 
-struct LookupInstance {
+struct ListedInstance {
     InstanceId id;
     RegionId region;
     FailureDomainId failureDomain;
     std::string address;
 };
 
-struct LookupAnswer {
+struct LookupResponse {
     ConfigurationVersion version = 0;
     Duration timeToLive { 0 };
-    std::vector<LookupInstance> instances; // Best first.
+    std::vector<ListedInstance> instances; // Best first.
 };
 
-using LookupResult = std::variant<LookupAnswer, Refusal>;
+using LookupResult = std::variant<LookupResponse, Refusal>;
 
 /**
  * One entry instance. Thread-safe: control state, each service's queue and backend servers, and each shard of held
@@ -120,7 +120,7 @@
     /** Takes a request. Its decision is among the returned actions, or those of a later call. */
     Actions begin(const RequestHead&, TimePoint now);
     /** Reports what became of a dispatch. The request is over unless an action dispatches it again. */
-    Actions finished(const RequestId&, const BackendOutcome&, TimePoint now);
+    Actions finished(const RequestId&, const DispatchOutcome&, TimePoint now);
     /** The caller went away before its request was dispatched. */
     Actions abandoned(const RequestId&, TimePoint now);
 
--- a/peridot/src/IdempotencyClaims.cpp
+++ b/peridot/src/IdempotencyClaims.cpp
@@ -13,52 +13,53 @@
 
 namespace {
 
-constexpr std::size_t largestBatch = 50;
-// Two batches in flight hide the store's round trip; more would only split the batches.
-constexpr std::size_t mostCallsInFlight = 4;
-constexpr std::size_t longestIdempotencyKey = 128;
-// A claim that the store hasn't confirmed by then is refused; the request has not been dispatched.
-constexpr Duration longestClaimTime = std::chrono::seconds { 3 };
-// Completions and releases are given up after this many attempts. The row then stays pending, which is safe.
-constexpr std::uint32_t mostUpdateAttempts = 20;
+    constexpr std::size_t largestBatch = 50;
+    // Two batches in flight hide the store's round trip; more would only split the batches.
+    constexpr std::size_t mostCallsInFlight = 4;
+    constexpr std::size_t longestIdempotencyKey = 128;
+    // A claim that the store hasn't confirmed by then is refused; the request has not been dispatched.
+    constexpr Duration longestClaimTime = std::chrono::seconds { 3 };
+    // Completions and releases are given up after this many attempts. The row then stays pending, which is safe.
+    constexpr std::uint32_t mostUpdateAttempts = 20;
 
-struct ClaimRow {
-    std::string owner;
-    std::string request;
-    std::string fingerprint;
-    std::optional<RecordedResponse> response;
-};
+    struct ClaimRow {
+        std::string owner;
+        std::string request;
+        std::string fingerprint;
+        std::optional<RecordedResponse> response;
+    };
 
-std::string encodeRow(const ClaimRow& row)
-{
-    nlohmann::json json { { "owner", row.owner }, { "request", row.request }, { "fingerprint", row.fingerprint } };
-    if (row.response) {
-        json["status"] = row.response->status;
-        json["content_type"] = row.response->contentType;
-        // Bodies may be any bytes; JSON strings must be UTF-8.
-        json["body"] = nlohmann::json::binary_t(
-            std::vector<std::uint8_t>(row.response->body.begin(), row.response->body.end()));
+    std::string encodeRow(const ClaimRow& row)
+    {
+        nlohmann::json json { { "owner", row.owner }, { "request", row.request }, { "fingerprint", row.fingerprint } };
+        if (row.response) {
+            json["status"] = row.response->status;
+            json["content_type"] = row.response->contentType;
+            // Bodies may be any bytes; JSON strings must be UTF-8.
+            json["body"] = nlohmann::json::binary_t(
+                std::vector<std::uint8_t>(row.response->body.begin(), row.response->body.end()));
+        }
+        const auto bytes = nlohmann::json::to_cbor(json);
+        return { bytes.begin(), bytes.end() };
     }
-    const auto bytes = nlohmann::json::to_cbor(json);
-    return { bytes.begin(), bytes.end() };
-}
 
-std::optional<ClaimRow> decodeRow(const std::string& text)
-{
-    const auto json = nlohmann::json::from_cbor(text, true, false);
-    if (!json.is_object())
-        return std::nullopt;
-    try {
-        ClaimRow row { json.at("owner"), json.at("request"), json.at("fingerprint"), std::nullopt };
-        if (json.contains("status")) {
-            const auto& body = json.at("body").get_binary();
-            row.response = RecordedResponse { json.at("status"), json.at("content_type"), { body.begin(), body.end() } };
+    std::optional<ClaimRow> decodeRow(const std::string& text)
+    {
+        const auto json = nlohmann::json::from_cbor(text, true, false);
+        if (!json.is_object())
+            return std::nullopt;
+        try {
+            ClaimRow row { json.at("owner"), json.at("request"), json.at("fingerprint"), std::nullopt };
+            if (json.contains("status")) {
+                const auto& body = json.at("body").get_binary();
+                row.response
+                    = RecordedResponse { json.at("status"), json.at("content_type"), { body.begin(), body.end() } };
+            }
+            return row;
+        } catch (const nlohmann::json::exception&) {
+            return std::nullopt;
         }
-        return row;
-    } catch (const nlohmann::json::exception&) {
-        return std::nullopt;
     }
-}
 
 }
 
@@ -107,10 +108,7 @@
         m_updates.push_back({ std::move(held.mapped().key), held.mapped().version, std::nullopt, 0 });
 }
 
-void IdempotencyClaims::abandon(const RequestId& request)
-{
-    m_held.erase(request);
-}
+void IdempotencyClaims::abandon(const RequestId& request) { m_held.erase(request); }
 
 std::vector<ClaimCall> IdempotencyClaims::takeCalls()
 {
@@ -282,7 +280,7 @@
     PERIDOT_ASSERT(!claim.empty(), "only an open claim is granted");
     const auto& request = claim.mapped().request;
     m_held.emplace(id, HeldClaim { rowKey(request), version, request.fingerprint });
-    outcomes.push_back({ id, ClaimGranted { } });
+    outcomes.push_back({ id, ClaimGranted {} });
 }
 
 void IdempotencyClaims::refuse(const RequestId& id, ClaimRefusal refusal, std::vector<ClaimOutcome>& outcomes)
