--- /dev/null
+++ b/libs/budget/src/BudgetHolder.cpp
@@ -0,0 +1,3 @@
+// Spending, demands and grants at one instance.
+
+#include "budget/BudgetHolder.h"
--- /dev/null
+++ b/libs/budget/src/LedgerBucket.cpp
@@ -0,0 +1,3 @@
+// Token bucket of one budget.
+
+#include "budget/RegionLedger.h"
--- /dev/null
+++ b/libs/budget/src/LedgerSnapshot.cpp
@@ -0,0 +1,3 @@
+// Text form of a ledger snapshot.
+
+#include "budget/RegionLedger.h"
--- /dev/null
+++ b/libs/budget/src/ShareTable.cpp
@@ -0,0 +1,3 @@
+// Steps of the share rows of all workspaces.
+
+#include "budget/ShareTable.h"
