membership: carry the ledger's lease epoch in the member list

Cause: instances must know which member of a region answers budget demands. Change: MemberInfo has the epoch of the ledger lease that the member holds. Measured: nothing; type only. Conclusion: no further message is needed to find the ledger.

--- a/libs/membership/include/membership/Messages.h
+++ b/libs/membership/include/membership/Messages.h
@@ -37,6 +37,9 @@
     std::string callerAddress;
     std::string peerAddress;
     InstanceState state = InstanceState::Starting;
+    // Lease epoch of the region's budget ledger if this member holds it, else 0. Of two holders in the view, the one
+    // with the higher epoch is asked.
+    std::uint64_t ledgerEpoch = 0;
 
     bool operator==(const MemberInfo&) const = default;
 };
