config, membership: add the public headers

Others code against these interfaces. ViewVersion is made from the content of a member list, so that relays with the same members agree on it and a change of relay needs no full list. Heartbeats echo a token of the last reply, which bounds the age of what they state.

--- /dev/null
+++ b/libs/membership/include/membership/LiveView.h
@@ -0,0 +1,93 @@
+// The members of all failure domains as one instance knows them, with the changes between recent states, so that peers
+// can be told only what changed.
+
+#pragma once
+
+#include "membership/Messages.h"
+#include "store/StoreTypes.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace peridot {
+
+class LiveView {
+public:
+    struct Domain {
+        RegionId region;
+        std::map<InstanceId, MemberInfo> members;
+        ViewVersion version;
+        std::optional<TimePoint> silentSince; // Set exactly while version.isSilent.
+        ConfigurationVersion lowestVersion = 0;
+        std::vector<ServiceLoad> loads;
+    };
+
+    // A silent domain is kept for the attestations until the platform's list has dropped it, see Evidence.h. The list
+    // lags, so a domain that is merely missing from it for a shorter time is kept as well.
+    static constexpr Duration forgetAfter = std::chrono::seconds { 30 };
+
+    /** Adds a member or changes it. For the relay of the member's domain. */
+    void put(const MemberInfo&);
+    /** For the relay of the domain. */
+    void remove(const FailureDomainId&, const InstanceId&);
+    void setSilent(const FailureDomainId&, bool isSilent, TimePoint now);
+    /** Names a domain before any of its members is known. */
+    void addDomain(const FailureDomainId&, const RegionId&);
+    void setReport(const FailureDomainId&, ConfigurationVersion lowest, std::vector<ServiceLoad> loads);
+
+    /** Takes what a relay said. The list may still differ afterwards; then the next request names what is known. */
+    void apply(const DomainSummary&, TimePoint now);
+    /** Adds domains and, where no member of a domain is known, its members. Drops domains that are gone for good. */
+    void applyPlatformList(const std::vector<PlatformInstance>&, TimePoint now);
+    bool hasPlatformList() const noexcept { return m_hasPlatformList; }
+
+    const std::map<FailureDomainId, Domain>& domains() const noexcept { return m_domains; }
+    const Domain* findDomain(const FailureDomainId&) const;
+    /** A live member: listed, and its domain is not silent. */
+    const MemberInfo* find(const InstanceId&) const;
+    void forEachLive(const std::function<void(const MemberInfo&)>&) const;
+    std::size_t liveCount() const noexcept;
+    /** Load of the live domains of a region, summed by service. */
+    std::vector<ServiceLoad> loads(const RegionId&) const;
+    /** Lowest version in force over the live domains that report one; 0 if one of them reports none. */
+    ConfigurationVersion lowestVersion() const noexcept;
+
+    /** Hash over the versions of all domains. */
+    std::uint64_t hash() const noexcept { return m_hash; }
+    std::vector<KnownView> known() const;
+    KnownView known(const FailureDomainId&) const;
+    /** A summary without members, for the parts that are no list. */
+    DomainSummary report(const FailureDomainId&) const;
+    /** The changes of a domain since @p known, or its full list if that state is too old. */
+    DomainSummary changesSince(const KnownView& known) const;
+    /** The changes since the state with this hash(); empty if that state is too old. */
+    std::optional<std::vector<DomainSummary>> changesSince(std::uint64_t hash) const;
+
+private:
+    // A relay sees some changes per second at most (230 restarts a day, bursts at deployments), and peers ask twice a
+    // second.
+    static constexpr std::size_t s_historyLimit = 256;
+
+    struct HistoryEntry {
+        std::uint64_t hashBefore = 0; // Of all domains.
+        ViewVersion versionBefore; // Of the domain.
+        FailureDomainId domain;
+        InstanceId member; // Empty if the domain became silent or answered again.
+    };
+
+    Domain& domain(const FailureDomainId&, const RegionId&);
+    void change(const FailureDomainId&, Domain&, const InstanceId&, const std::function<void()>& apply);
+    DomainSummary summarise(const FailureDomainId&, std::size_t firstEntry) const;
+
+    std::map<FailureDomainId, Domain> m_domains;
+    std::map<InstanceId, FailureDomainId> m_domainOf;
+    std::deque<HistoryEntry> m_history;
+    std::uint64_t m_hash = 0; // Equals the sum over m_domains of the hashes of name and version.
+    bool m_hasPlatformList = false;
+};
+
+}
--- /dev/null
+++ b/libs/membership/include/membership/MembershipSettings.h
@@ -0,0 +1,23 @@
+// Intervals and limits of heartbeats and digests.
+
+#pragma once
+
+#include "base/Time.h"
+
+#include <cstdint>
+
+namespace peridot {
+
+struct MembershipSettings {
+    Duration heartbeatInterval = std::chrono::milliseconds { 500 };
+    Duration digestInterval = std::chrono::milliseconds { 500 };
+    // Two heartbeats unanswered: the relay is passed over and the next one by rank is asked.
+    Duration relaySilence = std::chrono::milliseconds { 1100 };
+    // A relay that was passed over is asked again after this time.
+    Duration relayRetry = std::chrono::seconds { 3 };
+    Duration memberSilence = std::chrono::seconds { 2 };
+    // Loads of all domains are told in every n-th reply to a member.
+    std::uint32_t loadsEvery = 4;
+};
+
+}
--- a/libs/membership/include/membership/Messages.h
+++ b/libs/membership/include/membership/Messages.h
@@ -44,12 +44,15 @@
     bool operator==(const MemberInfo&) const = default;
 };
 
-/** Version of one domain's member list. It rises within an epoch; each relay that takes over starts a new epoch. */
+/**
+ * Version of one domain's member list. It is made from the content, so that two relays with the same members have the
+ * same version and a member that changes its relay needs no full list.
+ */
 struct ViewVersion {
-    std::uint64_t epoch = 0;
-    std::uint64_t number = 0;
+    std::uint64_t contentHash = 0; // Sum of the hashes of the members; 0 for an empty list.
+    bool isSilent = false; // None of the domain's relays answers; its members are kept but not live.
 
-    auto operator<=>(const ViewVersion&) const = default;
+    bool operator==(const ViewVersion&) const = default;
 };
 
 struct KnownView {
@@ -109,28 +112,46 @@
 struct Heartbeat {
     MemberInfo sender;
     std::uint64_t sequence = 0;
-    ConfigurationVersion configurationVersion = 0;
+    // The token of the newest reply from this relay. All statements of the heartbeat were made after that reply was
+    // sent, which bounds their age on the relay's clock.
+    std::uint64_t replyToken = 0;
+    ConfigurationVersion configurationVersion = 0; // In force at the sender.
+    ConfigurationVersion highestVersion = 0; // That the sender has heard of or written.
     StoreAttestation store;
     EvidenceStatement evidence; // The sender's own, so that a relay that is no reader learns from its members.
-    std::vector<KnownView> known;
+    bool wantsView = false; // Only one of the sender's relays is asked for members and loads.
+    std::uint64_t viewHash = 0; // Over the versions of all domains.
+    std::vector<KnownView> known; // Only if the last reply showed another view hash.
     std::vector<ServiceLoad> loads;
 };
 
 struct HeartbeatReply {
     std::uint64_t sequence = 0;
+    std::uint64_t token = 0; // The relay's time; opaque to the member.
     EvidenceStatement evidence;
+    ConfigurationVersion highestVersion = 0; // That the relay has heard of.
+    ConfigurationVersion witnessedVersion = 0; // Highest version that a relay of another domain has confirmed to know.
+    ConfigurationVersion lowestVersion = 0; // In force at every live member of all domains.
+    bool isReachabilityWitnessed = false; // Another domain has just confirmed to know that this one reaches the store.
+    std::uint64_t viewHash = 0;
     std::vector<DomainSummary> domains; // Only domains that changed since the versions in the heartbeat.
 };
 
 struct DigestPull {
     InstanceId sender;
+    RegionId region;
+    FailureDomainId failureDomain;
     std::uint64_t sequence = 0;
-    std::vector<KnownView> known;
+    ConfigurationVersion highestVersion = 0;
+    bool isStoreReachable = false; // By a member of the sender's domain.
+    std::vector<KnownView> known; // Of the receiver's domain.
 };
 
 struct Digest {
     std::uint64_t sequence = 0;
     EvidenceStatement evidence;
+    ConfigurationVersion highestVersion = 0;
+    bool isPeerReachable = false; // A relay of another domain has just said that its domain reaches the store.
     std::vector<DomainSummary> domains; // The answering relay's own domain.
 };
 
