--- a/peridot/include/peridot/Node.h
+++ b/peridot/include/peridot/Node.h
@@ -19,6 +19,12 @@
 
 namespace peridot {
 
+/** Clients of a block belong to the first region of the list that serves. */
+struct ClientBlockRegions {
+    std::string block; // Such as "10.1.0.0/16".
+    std::vector<RegionId> regions;
+};
+
 struct NodeSettings {
     DeploymentId deployment;
     MemberInfo self;
@@ -27,13 +33,14 @@
     Duration clientDelay = std::chrono::milliseconds { 8 }; // One way, to callers of the own region.
     Duration regionDelay = std::chrono::milliseconds { 55 }; // One way, between regions.
     std::uint64_t linkMegabitsPerSecond = 4000;
+    std::vector<ClientBlockRegions> clientBlocks;
     std::uint64_t randomSeed = 0;
 };
 
 struct RequestHead {
     RequestId id;
     std::string method;
-    std::string path; // With the service as first segment.
+    std::string path; // Without the query; the service is its first segment.
     std::string clientAddress;
     std::vector<std::string> presentedKeys; // All keys found in headers and query.
     std::string idempotencyKey;
@@ -65,6 +72,7 @@
     Duration latency { 0 };
     Duration retryAfter { 0 }; // As a shedding server states it.
     std::uint64_t responseBytes = 0;
+    bool hasResponseStarted = false; // Part of the response has reached the caller, so nothing else can be answered.
     RecordedResponse response; // For an idempotency claim; the body is kept only if it is small.
 };
 
@@ -128,6 +136,9 @@
      */
     Actions operate(const OperatorRequest&, TimePoint now);
 
+    /** What operators see of this instance: JSON, see docs/api.md. */
+    std::string status(TimePoint now) const;
+
     /** Starts a graceful shutdown. */
     Actions leave(TimePoint now);
     /** True once the time to live of lookup answers is over, nothing runs and everything held was given back. */
