--- a/peridot/src/ControlPlane.cpp
+++ b/peridot/src/ControlPlane.cpp
@@ -37,7 +37,8 @@
     {
         return { 409,
             { { "code", "conflict" }, { "field", conflict.field }, { "version", conflict.version },
-                { "operator", conflict.changeId },
+                { "operator", conflict.changeId.substr(0, conflict.changeId.find(':')) },
+                { "change", conflict.changeId },
                 { "message", "field " + conflict.field + " was changed in version " + std::to_string(conflict.version) } } };
     }
 
@@ -216,7 +217,9 @@
         auto [status, body] = std::visit(ChangeResultVisitor {}, outcome.result);
         m_log.write(LogLevel::Info,
             LogLine("operator_change").add("change", outcome.id).add("status", status).add("result", body.dump()));
-        actions.emplace_back(AnswerOperator { outcome.id, status, body.dump() });
+        auto waiting = m_answerTo.extract(outcome.id);
+        actions.emplace_back(
+            AnswerOperator { waiting.empty() ? outcome.id : waiting.mapped(), status, body.dump() });
     }
     if (auto newest = m_writer.newest(); newest && newest->version() > m_membership.highestVersion())
         m_membership.heard(newest->version());
@@ -234,7 +237,7 @@
             .add("version", configuration->version())
             .add("change", configuration->changeId()));
     if (previous) {
-        for (const auto& [id, key] : configuration->data().withdrawnKeys) {
+        for (const auto& id : configuration->data().withdrawnKeys) {
             if (!previous->data().withdrawnKeys.contains(id))
                 actions.emplace_back(CloseCallers { id });
         }
@@ -296,6 +299,7 @@
 {
     m_areRoutersStale = false;
     m_plannedViewHash = m_membership.view().hash();
+    updateLedgers();
     for (const auto& [service, router] : m_routers)
         router->setServers(serversOf(service), now);
     m_plan = LookupPlanner().build(lookupInputs(now));
@@ -375,12 +379,20 @@
 
 const MemberInfo* ControlPlane::findLedger(const RegionId& region) const
 {
-    const MemberInfo* holder = nullptr;
+    auto it = m_ledgers.find(region);
+    return it == m_ledgers.end() ? nullptr : &it->second;
+}
+
+void ControlPlane::updateLedgers()
+{
+    m_ledgers.clear();
     m_membership.view().forEachLive([&](const MemberInfo& member) {
-        if (member.region == region && member.ledgerEpoch > (holder ? holder->ledgerEpoch : 0))
-            holder = &member;
+        if (member.ledgerEpoch == 0)
+            return;
+        auto& holder = m_ledgers[member.region];
+        if (member.ledgerEpoch > holder.ledgerEpoch)
+            holder = member;
     });
-    return holder;
 }
 
 std::string ControlPlane::ledgerHolder(const RegionId& region) const
@@ -453,9 +465,10 @@
     m_published.store(std::move(view));
 }
 
-Actions ControlPlane::submit(ChangeRequest request, TimePoint now)
+Actions ControlPlane::submit(const std::string& answerTo, ChangeRequest request, TimePoint now)
 {
     Actions actions;
+    m_answerTo[request.id] = answerTo;
     take(m_writer.submit(std::move(request), now), now, actions);
     return actions;
 }
--- a/peridot/src/ControlPlane.h
+++ b/peridot/src/ControlPlane.h
@@ -32,7 +32,8 @@
     Actions receive(const Envelope&, TimePoint now);
     Actions storeCompleted(const StoreCallTable::Entry&, const StoreResult&, TimePoint now);
 
-    Actions submit(ChangeRequest, TimePoint now);
+    /** Submits a change; its AnswerOperator goes to @p answerTo. */
+    Actions submit(const std::string& answerTo, ChangeRequest, TimePoint now);
     Actions bootstrap(const std::string& id, const std::string& document, TimePoint now);
 
     void leave(TimePoint now);
@@ -57,6 +58,7 @@
     void sendDemands(TimePoint now, Actions&);
     void sendDemand(const RegionId&, const BudgetDemand&, TimePoint now, Actions&);
     const MemberInfo* findLedger(const RegionId&) const;
+    void updateLedgers();
     void pollInstanceList(TimePoint now, Actions&);
     void updateOwnState(TimePoint now);
     void updateRouters(TimePoint now);
@@ -85,6 +87,8 @@
     ConfigurationWriter m_writer;
     RegionLedgerHost m_ledger;
 
+    std::map<std::string, std::string> m_answerTo; // Open changes to the operator requests that wait for them.
+    std::map<RegionId, MemberInfo> m_ledgers; // Members that run the ledger of a region.
     std::vector<PlatformInstance> m_instances; // The platform's list as last read.
     std::map<ServiceId, std::shared_ptr<ServiceRouter>> m_routers;
     std::shared_ptr<const LookupPlan> m_plan;
--- a/peridot/src/OperatorEndpoint.cpp
+++ b/peridot/src/OperatorEndpoint.cpp
@@ -23,7 +23,7 @@
     return answer(request, status, { { "code", code }, { "message", message } });
 }
 
-/** Keeps the log line's value readable: change ids go to logs, and to other operators in conflicts. */
+/** The operator's name goes into the change id, so that a conflict can say whose change won. */
 std::string changeIdOf(const OperatorRequest& request, const std::string& operatorName)
 {
     return operatorName.empty() ? request.id : operatorName + ":" + request.id;
@@ -98,9 +98,7 @@
     auto parsed = parseChanges(request);
     if (!parsed)
         return { errorAnswer(request, 400, "invalid_change", parsed.error().message) };
-    const auto id = parsed->id;
-    auto actions = m_control.submit(std::move(*parsed), now);
-    return actions;
+    return m_control.submit(request.id, std::move(*parsed), now);
 }
 
 AnswerOperator OperatorEndpoint::explain(const OperatorRequest& request) const
--- a/peridot/src/RegionLedgerHost.cpp
+++ b/peridot/src/RegionLedgerHost.cpp
@@ -101,7 +101,6 @@
     LeaseInputs inputs;
     inputs.isCandidate = isCandidate();
     inputs.mayWrite = evidence.mayWrite(now);
-    inputs.isRowHolderGone = !m_lease.rowHolder().isEmpty() && !m_membership.view().find(m_lease.rowHolder());
     if (auto request = m_lease.next(inputs, now)) {
         // The write may take effect until its timeout; no one may conclude before that nobody can write the row.
         if (std::holds_alternative<TableCommit>(*request))
