--- a/libs/routing/include/routing/ClientBlock.h
+++ b/libs/routing/include/routing/ClientBlock.h
@@ -4,10 +4,10 @@
 
 #include "base/Error.h"
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace peridot {
 
@@ -26,7 +26,11 @@
 
     std::string text() const;
 
-    auto operator<=>(const ClientAddress&) const = default;
+    bool operator==(const ClientAddress&) const = default;
+    bool operator<(const ClientAddress& other) const noexcept
+    {
+        return std::tie(m_isV6, m_high, m_low) < std::tie(other.m_isV6, other.m_high, other.m_low);
+    }
 
 private:
     bool m_isV6 = false;
@@ -48,7 +52,12 @@
 
     std::string text() const;
 
-    auto operator<=>(const ClientBlock&) const = default;
+    bool operator==(const ClientBlock&) const = default;
+    /** Orders by address, wider blocks first. */
+    bool operator<(const ClientBlock& other) const noexcept
+    {
+        return std::tie(m_address, m_prefixLength) < std::tie(other.m_address, other.m_prefixLength);
+    }
 
 private:
     ClientAddress m_address;
