--- /dev/null
+++ b/libs/wire/src/Codec.cpp
@@ -0,0 +1,449 @@
+// Conversion between the message structs and the protobuf schema, with checks on everything that was received.
+
+#include "wire/Codec.h"
+
+#include "peer.pb.h"
+
+#include <google/protobuf/stubs/logging.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace peridot {
+
+namespace {
+
+    constexpr std::size_t maximumNameBytes = 255;
+    constexpr int maximumItems = 100000;
+    // An age beyond this is no less useless; the bound keeps sums of ages far from overflow.
+    constexpr std::uint64_t maximumDurationMicroseconds = 366ULL * 24 * 3600 * 1000000;
+
+    /** Thrown inside decode() only. */
+    struct DecodeError {
+        const char* what;
+    };
+
+    void require(bool condition, const char* what)
+    {
+        if (!condition)
+            throw DecodeError { what };
+    }
+
+    const std::string& name(const std::string& value)
+    {
+        require(value.size() <= maximumNameBytes, "name too long");
+        // Names end up in log lines and JSON; protobuf has checked that they are UTF-8.
+        require(std::none_of(value.begin(), value.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; }),
+            "control character in a name");
+        return value;
+    }
+
+    const std::string& nonEmptyName(const std::string& value)
+    {
+        require(!value.empty(), "name missing");
+        return name(value);
+    }
+
+    Duration duration(std::uint64_t microseconds)
+    {
+        require(microseconds <= maximumDurationMicroseconds, "duration out of range");
+        return Duration { static_cast<Duration::rep>(microseconds) };
+    }
+
+    std::uint64_t microseconds(Duration value)
+    {
+        const auto count = std::max<Duration::rep>(value.count(), 0);
+        return std::min(static_cast<std::uint64_t>(count), maximumDurationMicroseconds);
+    }
+
+    Units units(std::uint64_t value)
+    {
+        require(value <= static_cast<std::uint64_t>(std::numeric_limits<Units>::max()), "units out of range");
+        return static_cast<Units>(value);
+    }
+
+    std::uint64_t unitCount(Units value) { return static_cast<std::uint64_t>(std::max<Units>(value, 0)); }
+
+    template <typename Enum> Enum enumValue(int value)
+    {
+        const auto candidate = static_cast<Enum>(value);
+        require(enumName(candidate) != "unknown", "enumeration value unknown");
+        return candidate;
+    }
+
+    template <typename Field> void requireBounded(const Field& field)
+    {
+        require(field.size() <= maximumItems, "too many items");
+    }
+
+    void write(const MemberInfo& from, const Envelope* envelope, proto::MemberInfo& to)
+    {
+        if (!envelope || from.id != envelope->sender)
+            to.set_id(from.id.value());
+        if (!envelope || from.incarnation != envelope->incarnation)
+            to.set_incarnation(from.incarnation);
+        to.set_region(from.region.value());
+        to.set_failure_domain(from.failureDomain.value());
+        to.set_caller_address(from.callerAddress);
+        if (!envelope || from.peerAddress != envelope->senderAddress)
+            to.set_peer_address(from.peerAddress);
+        to.set_state(static_cast<proto::InstanceState>(from.state));
+    }
+
+    MemberInfo read(const proto::MemberInfo& from, const Envelope* envelope)
+    {
+        MemberInfo to;
+        to.id = InstanceId { name(from.id()) };
+        to.incarnation = from.incarnation();
+        to.peerAddress = name(from.peer_address());
+        if (envelope) {
+            if (to.id.isEmpty())
+                to.id = envelope->sender;
+            if (to.incarnation == 0)
+                to.incarnation = envelope->incarnation;
+            if (to.peerAddress.empty())
+                to.peerAddress = envelope->senderAddress;
+        }
+        require(!to.id.isEmpty(), "member without id");
+        to.region = RegionId { nonEmptyName(from.region()) };
+        to.failureDomain = FailureDomainId { nonEmptyName(from.failure_domain()) };
+        to.callerAddress = name(from.caller_address());
+        to.state = enumValue<InstanceState>(from.state());
+        return to;
+    }
+
+    void write(const StoreAttestation& from, proto::StoreAttestation& to)
+    {
+        to.set_is_reachable(from.isReachable);
+        to.set_age_us(microseconds(from.age));
+    }
+
+    StoreAttestation read(const proto::StoreAttestation& from)
+    {
+        return { from.is_reachable(), duration(from.age_us()) };
+    }
+
+    void write(const ServiceLoad& from, proto::ServiceLoad& to)
+    {
+        to.set_service(from.service.value());
+        to.set_slots(from.slots);
+        to.set_in_flight(from.inFlight);
+        to.set_queued(from.queued);
+    }
+
+    ServiceLoad read(const proto::ServiceLoad& from)
+    {
+        return { ServiceId { nonEmptyName(from.service()) }, from.slots(), from.in_flight(), from.queued() };
+    }
+
+    void write(const EvidenceStatement& from, proto::EvidenceStatement& to)
+    {
+        to.set_kind(static_cast<proto::EvidenceKind>(from.kind));
+        to.set_version(from.version);
+        to.set_age_us(microseconds(from.age));
+    }
+
+    EvidenceStatement read(const proto::EvidenceStatement& from)
+    {
+        return { enumValue<EvidenceKind>(from.kind()), from.version(), duration(from.age_us()) };
+    }
+
+    void write(const ViewVersion& from, proto::ViewVersion& to)
+    {
+        to.set_epoch(from.epoch);
+        to.set_number(from.number);
+    }
+
+    ViewVersion read(const proto::ViewVersion& from) { return { from.epoch(), from.number() }; }
+
+    void write(const KnownView& from, proto::KnownView& to)
+    {
+        to.set_failure_domain(from.failureDomain.value());
+        write(from.version, *to.mutable_version());
+    }
+
+    KnownView read(const proto::KnownView& from)
+    {
+        return { FailureDomainId { nonEmptyName(from.failure_domain()) }, read(from.version()) };
+    }
+
+    void write(const DomainSummary& from, proto::DomainSummary& to)
+    {
+        to.set_failure_domain(from.failureDomain.value());
+        to.set_region(from.region.value());
+        write(from.version, *to.mutable_version());
+        to.set_is_full(from.isFull);
+        for (const auto& member : from.members)
+            write(member, nullptr, *to.add_members());
+        for (const auto& id : from.removed)
+            to.add_removed(id.value());
+        to.set_lowest_version(from.lowestVersion);
+        write(from.store, *to.mutable_store());
+        for (const auto& load : from.loads)
+            write(load, *to.add_loads());
+        to.set_age_us(microseconds(from.age));
+    }
+
+    DomainSummary read(const proto::DomainSummary& from)
+    {
+        DomainSummary to;
+        to.failureDomain = FailureDomainId { nonEmptyName(from.failure_domain()) };
+        to.region = RegionId { nonEmptyName(from.region()) };
+        to.version = read(from.version());
+        to.isFull = from.is_full();
+        requireBounded(from.members());
+        for (const auto& member : from.members())
+            to.members.push_back(read(member, nullptr));
+        requireBounded(from.removed());
+        for (const auto& id : from.removed())
+            to.removed.emplace_back(nonEmptyName(id));
+        to.lowestVersion = from.lowest_version();
+        to.store = read(from.store());
+        requireBounded(from.loads());
+        for (const auto& load : from.loads())
+            to.loads.push_back(read(load));
+        to.age = duration(from.age_us());
+        return to;
+    }
+
+    void write(const BudgetDemandItem& from, proto::BudgetDemandItem& to)
+    {
+        to.set_kind(static_cast<proto::BudgetKind>(from.key.kind));
+        to.set_subject(from.key.subject);
+        to.set_spent_total(unitCount(from.spentTotal));
+        to.set_expired_total(unitCount(from.expiredTotal));
+        to.set_held(unitCount(from.held));
+        to.set_wanted(unitCount(from.wanted));
+        to.set_refused_total(unitCount(from.refusedTotal));
+    }
+
+    BudgetDemandItem read(const proto::BudgetDemandItem& from)
+    {
+        BudgetDemandItem to;
+        to.key = { enumValue<BudgetKind>(from.kind()), nonEmptyName(from.subject()) };
+        to.spentTotal = units(from.spent_total());
+        to.expiredTotal = units(from.expired_total());
+        to.held = units(from.held());
+        to.wanted = units(from.wanted());
+        to.refusedTotal = units(from.refused_total());
+        return to;
+    }
+
+    void write(const BudgetGrantItem& from, proto::BudgetGrantItem& to)
+    {
+        to.set_kind(static_cast<proto::BudgetKind>(from.key.kind));
+        to.set_subject(from.key.subject);
+        to.set_granted(unitCount(from.granted));
+        to.set_validity_us(microseconds(from.validity));
+        to.set_refill_us(microseconds(from.refillTime));
+    }
+
+    BudgetGrantItem read(const proto::BudgetGrantItem& from)
+    {
+        BudgetGrantItem to;
+        to.key = { enumValue<BudgetKind>(from.kind()), nonEmptyName(from.subject()) };
+        to.granted = units(from.granted());
+        to.validity = duration(from.validity_us());
+        to.refillTime = duration(from.refill_us());
+        return to;
+    }
+
+    template <typename From, typename To> void writeAll(const From& from, To* to)
+    {
+        for (const auto& item : from)
+            write(item, *to->Add());
+    }
+
+    template <typename To, typename From> std::vector<To> readAll(const From& from)
+    {
+        requireBounded(from);
+        std::vector<To> to;
+        to.reserve(static_cast<std::size_t>(from.size()));
+        for (const auto& item : from)
+            to.push_back(read(item));
+        return to;
+    }
+
+    /** Writes the body of an envelope. */
+    struct BodyWriter {
+        const Envelope& envelope;
+        proto::Envelope& out;
+
+        void operator()(const Heartbeat& from) const
+        {
+            auto& to = *out.mutable_heartbeat();
+            write(from.sender, &envelope, *to.mutable_sender());
+            to.set_sequence(from.sequence);
+            to.set_configuration_version(from.configurationVersion);
+            write(from.store, *to.mutable_store());
+            write(from.evidence, *to.mutable_evidence());
+            writeAll(from.known, to.mutable_known());
+            writeAll(from.loads, to.mutable_loads());
+        }
+
+        void operator()(const HeartbeatReply& from) const
+        {
+            auto& to = *out.mutable_heartbeat_reply();
+            to.set_sequence(from.sequence);
+            write(from.evidence, *to.mutable_evidence());
+            writeAll(from.domains, to.mutable_domains());
+        }
+
+        void operator()(const DigestPull& from) const
+        {
+            auto& to = *out.mutable_digest_pull();
+            if (from.sender != envelope.sender)
+                to.set_sender(from.sender.value());
+            to.set_sequence(from.sequence);
+            writeAll(from.known, to.mutable_known());
+        }
+
+        void operator()(const Digest& from) const
+        {
+            auto& to = *out.mutable_digest();
+            to.set_sequence(from.sequence);
+            write(from.evidence, *to.mutable_evidence());
+            writeAll(from.domains, to.mutable_domains());
+        }
+
+        void operator()(const BudgetDemand& from) const
+        {
+            auto& to = *out.mutable_budget_demand();
+            if (from.holder != envelope.sender)
+                to.set_holder(from.holder.value());
+            if (from.incarnation != envelope.incarnation)
+                to.set_incarnation(from.incarnation);
+            to.set_sequence(from.sequence);
+            writeAll(from.items, to.mutable_items());
+        }
+
+        void operator()(const BudgetGrant& from) const
+        {
+            auto& to = *out.mutable_budget_grant();
+            to.set_region(from.region.value());
+            to.set_epoch(from.epoch);
+            to.set_incarnation(from.incarnation);
+            to.set_sequence(from.sequence);
+            writeAll(from.items, to.mutable_items());
+        }
+
+        void operator()(const ConfigurationPull& from) const
+        {
+            auto& to = *out.mutable_configuration_pull();
+            to.set_sequence(from.sequence);
+            to.set_have_version(from.haveVersion);
+        }
+
+        void operator()(const ConfigurationObject& from) const
+        {
+            auto& to = *out.mutable_configuration_object();
+            to.set_sequence(from.sequence);
+            to.set_version(from.version);
+            to.set_body(from.body);
+        }
+    };
+
+    Heartbeat read(const proto::Heartbeat& from, const Envelope& envelope)
+    {
+        Heartbeat to;
+        to.sender = read(from.sender(), &envelope);
+        to.sequence = from.sequence();
+        to.configurationVersion = from.configuration_version();
+        to.store = read(from.store());
+        to.evidence = read(from.evidence());
+        to.known = readAll<KnownView>(from.known());
+        to.loads = readAll<ServiceLoad>(from.loads());
+        return to;
+    }
+
+    DigestPull read(const proto::DigestPull& from, const Envelope& envelope)
+    {
+        DigestPull to;
+        to.sender = from.sender().empty() ? envelope.sender : InstanceId { name(from.sender()) };
+        to.sequence = from.sequence();
+        to.known = readAll<KnownView>(from.known());
+        return to;
+    }
+
+    BudgetDemand read(const proto::BudgetDemand& from, const Envelope& envelope)
+    {
+        BudgetDemand to;
+        to.holder = from.holder().empty() ? envelope.sender : InstanceId { name(from.holder()) };
+        to.incarnation = from.incarnation() == 0 ? envelope.incarnation : from.incarnation();
+        to.sequence = from.sequence();
+        to.items = readAll<BudgetDemandItem>(from.items());
+        return to;
+    }
+
+    PeerMessage readBody(const proto::Envelope& from, const Envelope& envelope)
+    {
+        switch (from.body_case()) {
+        case proto::Envelope::kHeartbeat:
+            return read(from.heartbeat(), envelope);
+        case proto::Envelope::kHeartbeatReply: {
+            const auto& body = from.heartbeat_reply();
+            return HeartbeatReply { body.sequence(), read(body.evidence()), readAll<DomainSummary>(body.domains()) };
+        }
+        case proto::Envelope::kDigestPull:
+            return read(from.digest_pull(), envelope);
+        case proto::Envelope::kDigest: {
+            const auto& body = from.digest();
+            return Digest { body.sequence(), read(body.evidence()), readAll<DomainSummary>(body.domains()) };
+        }
+        case proto::Envelope::kBudgetDemand:
+            return read(from.budget_demand(), envelope);
+        case proto::Envelope::kBudgetGrant: {
+            const auto& body = from.budget_grant();
+            return BudgetGrant { RegionId { nonEmptyName(body.region()) }, body.epoch(), body.incarnation(),
+                body.sequence(), readAll<BudgetGrantItem>(body.items()) };
+        }
+        case proto::Envelope::kConfigurationPull:
+            return ConfigurationPull { from.configuration_pull().sequence(), from.configuration_pull().have_version() };
+        case proto::Envelope::kConfigurationObject: {
+            const auto& body = from.configuration_object();
+            return ConfigurationObject { body.sequence(), body.version(), body.body() };
+        }
+        case proto::Envelope::BODY_NOT_SET:
+            break;
+        }
+        throw DecodeError { "body missing" };
+    }
+
+}
+
+std::string encode(const Envelope& envelope)
+{
+    proto::Envelope out;
+    out.set_deployment(envelope.deployment.value());
+    out.set_sender(envelope.sender.value());
+    out.set_incarnation(envelope.incarnation);
+    out.set_sender_address(envelope.senderAddress);
+    std::visit(BodyWriter { envelope, out }, envelope.message);
+    return out.SerializeAsString();
+}
+
+Result<Envelope> decode(std::string_view bytes)
+{
+    // protobuf would write a line to standard error for each string that is no UTF-8.
+    static const auto previousHandler = google::protobuf::SetLogHandler(nullptr);
+    static_cast<void>(previousHandler);
+    if (bytes.size() > maximumEnvelopeBytes)
+        return makeError(ErrorCode::ProtocolViolation, "decode message", "", "message too long");
+    proto::Envelope in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return makeError(ErrorCode::ProtocolViolation, "decode message", "", "not an envelope");
+    try {
+        Envelope envelope;
+        envelope.deployment = DeploymentId { nonEmptyName(in.deployment()) };
+        envelope.sender = InstanceId { nonEmptyName(in.sender()) };
+        envelope.incarnation = in.incarnation();
+        envelope.senderAddress = nonEmptyName(in.sender_address());
+        envelope.message = readBody(in, envelope);
+        return envelope;
+    } catch (const DecodeError& error) {
+        return makeError(
+            ErrorCode::ProtocolViolation, "decode message", in.sender().substr(0, maximumNameBytes), error.what);
+    }
+}
+
+}
--- /dev/null
+++ b/libs/wire/tests/CodecTest.cpp
@@ -0,0 +1,154 @@
+// Guards the encoding between instances: nothing is lost on the way, and input that is not ours is an error.
+
+#include "wire/Codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace peridot {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    MemberInfo member(const std::string& name)
+    {
+        return { InstanceId { name }, 77, RegionId { "jadran" }, FailureDomainId { "jadran-a" }, "127.0.0.1:21100",
+            "127.0.0.1:21200", InstanceState::Leaving };
+    }
+
+    DomainSummary summary()
+    {
+        DomainSummary value;
+        value.failureDomain = FailureDomainId { "jadran-a" };
+        value.region = RegionId { "jadran" };
+        value.version = { 3, 9 };
+        value.isFull = true;
+        value.members = { member("one"), member("two") };
+        value.removed = { InstanceId { "three" } };
+        value.lowestVersion = 12;
+        value.store = { true, milliseconds { 250 } };
+        value.loads = { { ServiceId { "salonik" }, 8, 3, 1 } };
+        value.age = milliseconds { 731 };
+        return value;
+    }
+
+    Envelope envelope(PeerMessage message)
+    {
+        return { DeploymentId { "plesni-caj" }, InstanceId { "one" }, 77, "127.0.0.1:21200", std::move(message) };
+    }
+
+    std::vector<Envelope> oneOfEach()
+    {
+        const EvidenceStatement evidence { EvidenceKind::StoreUnavailable, 4, milliseconds { 900 } };
+        const std::vector<KnownView> known { { FailureDomainId { "jadran-b" }, { 1, 2 } } };
+        return {
+            envelope(Heartbeat { member("one"), 5, 12, { true, milliseconds { 1 } }, evidence, known,
+                { { ServiceId { "salonik" }, 8, 3, 1 } } }),
+            envelope(HeartbeatReply { 5, evidence, { summary() } }),
+            envelope(DigestPull { InstanceId { "one" }, 6, known }),
+            envelope(Digest { 6, evidence, { summary() } }),
+            envelope(BudgetDemand {
+                InstanceId { "one" }, 77, 8, { { { BudgetKind::Link, "jadran>zagorje" }, 1, 2, 3, 4, 5 } } }),
+            envelope(BudgetGrant { RegionId { "jadran" }, 4, 77, 8,
+                { { { BudgetKind::ShiftIn, "zagorje" }, 20, milliseconds { 1000 }, milliseconds { 7 } } } }),
+            envelope(ConfigurationPull { 9, 11 }),
+            envelope(ConfigurationObject { 9, 12, "{\"version\":12}" }),
+        };
+    }
+
+}
+
+class CodecTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(CodecTest);
+    CPPUNIT_TEST(everyMessageSurvivesTheRoundTrip);
+    CPPUNIT_TEST(fieldsSurvive);
+    CPPUNIT_TEST(mutatedInputIsAnErrorOrAMessage);
+    CPPUNIT_TEST(outOfRangeValuesAreErrors);
+    CPPUNIT_TEST(heartbeatIsCompact);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Encoding again what was decoded gives the same bytes, for every kind of message.
+    void everyMessageSurvivesTheRoundTrip()
+    {
+        for (const auto& original : oneOfEach()) {
+            const auto bytes = encode(original);
+            const auto decoded = decode(bytes);
+            CPPUNIT_ASSERT(decoded.has_value());
+            CPPUNIT_ASSERT_EQUAL(original.message.index(), decoded->message.index());
+            CPPUNIT_ASSERT(bytes == encode(*decoded));
+        }
+    }
+
+    // A field that neither side writes would pass the round trip unnoticed.
+    void fieldsSurvive()
+    {
+        const auto all = oneOfEach();
+        const auto heartbeat = std::get<Heartbeat>(decode(encode(all[0]))->message);
+        CPPUNIT_ASSERT(heartbeat.sender == member("one"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 12 }, heartbeat.configurationVersion);
+        CPPUNIT_ASSERT(heartbeat.evidence.age == milliseconds { 900 });
+        CPPUNIT_ASSERT(heartbeat.loads.front() == (ServiceLoad { ServiceId { "salonik" }, 8, 3, 1 }));
+        const auto domain = std::get<Digest>(decode(encode(all[3]))->message).domains.front();
+        CPPUNIT_ASSERT(domain.members == summary().members);
+        CPPUNIT_ASSERT(domain.removed == summary().removed);
+        CPPUNIT_ASSERT(domain.version == summary().version);
+        CPPUNIT_ASSERT(domain.age == summary().age && domain.store.age == summary().store.age && domain.isFull);
+        const auto demand = std::get<BudgetDemand>(decode(encode(all[4]))->message);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 77 }, demand.incarnation);
+        CPPUNIT_ASSERT(demand.items.front().key == (BudgetKey { BudgetKind::Link, "jadran>zagorje" }));
+        CPPUNIT_ASSERT_EQUAL(Units { 2 }, demand.items.front().expiredTotal);
+        CPPUNIT_ASSERT_EQUAL(Units { 5 }, demand.items.front().refusedTotal);
+        const auto grant = std::get<BudgetGrant>(decode(encode(all[5]))->message);
+        CPPUNIT_ASSERT_EQUAL(Units { 20 }, grant.items.front().granted);
+        CPPUNIT_ASSERT(grant.items.front().refillTime == milliseconds { 7 });
+    }
+
+    // Garbage on the port must not crash the daemon: flips, cuts and extensions of valid messages.
+    void mutatedInputIsAnErrorOrAMessage()
+    {
+        std::mt19937_64 random(20261203);
+        std::size_t errors = 0;
+        for (const auto& original : oneOfEach()) {
+            const auto bytes = encode(original);
+            for (int round = 0; round < 2000; ++round) {
+                auto mutated = bytes;
+                for (std::uint64_t i = 0; i <= random() % 4; ++i)
+                    mutated[random() % mutated.size()] = static_cast<char>(random());
+                if (random() % 3 == 0)
+                    mutated.resize(random() % mutated.size());
+                if (const auto decoded = decode(mutated); decoded)
+                    CPPUNIT_ASSERT(!encode(*decoded).empty());
+                else
+                    ++errors;
+            }
+        }
+        CPPUNIT_ASSERT(errors > 1000);
+        CPPUNIT_ASSERT(!decode("").has_value());
+        CPPUNIT_ASSERT(!decode("GET / HTTP/1.1\r\n\r\n").has_value());
+        CPPUNIT_ASSERT(!decode(std::string(maximumEnvelopeBytes + 1, 'x')).has_value());
+    }
+
+    // An unknown enumeration value or an oversize name reaches no decision.
+    void outOfRangeValuesAreErrors()
+    {
+        auto longName = oneOfEach()[2];
+        longName.sender = InstanceId { std::string(300, 'n') };
+        CPPUNIT_ASSERT(!decode(encode(longName)).has_value());
+        auto badKind = oneOfEach()[4];
+        std::get<BudgetDemand>(badKind.message).items.front().key.kind = static_cast<BudgetKind>(9);
+        CPPUNIT_ASSERT(!decode(encode(badKind)).has_value());
+        auto noDeployment = oneOfEach()[6];
+        noDeployment.deployment = DeploymentId {};
+        CPPUNIT_ASSERT(!decode(encode(noDeployment)).has_value());
+    }
+
+    // Four heartbeats and replies a second must stay far below 7 KB/s; 200 bytes each leave room for TCP and budgets.
+    void heartbeatIsCompact() { CPPUNIT_ASSERT(encode(oneOfEach()[0]).size() <= 200); }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CodecTest);
+
+}
