--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -88,6 +88,7 @@
         if (!envelope || from.peerAddress != envelope->senderAddress)
             to.set_peer_address(from.peerAddress);
         to.set_state(static_cast<proto::InstanceState>(from.state));
+        to.set_ledger_epoch(from.ledgerEpoch);
     }
 
     MemberInfo read(const proto::MemberInfo& from, const Envelope* envelope)
@@ -109,6 +110,7 @@
         to.failureDomain = FailureDomainId { nonEmptyName(from.failure_domain()) };
         to.callerAddress = name(from.caller_address());
         to.state = enumValue<InstanceState>(from.state());
+        to.ledgerEpoch = from.ledger_epoch();
         return to;
     }
 
--- a/libs/wire/tests/CodecTest.cpp
+++ b/libs/wire/tests/CodecTest.cpp
@@ -15,7 +15,7 @@
     MemberInfo member(const std::string& name)
     {
         return { InstanceId { name }, 77, RegionId { "jadran" }, FailureDomainId { "jadran-a" }, "127.0.0.1:21100",
-            "127.0.0.1:21200", InstanceState::Leaving };
+            "127.0.0.1:21200", InstanceState::Leaving, 4 };
     }
 
     DomainSummary summary()
--- a/peridot/tests/IdempotencyClaimsTest.cpp
+++ b/peridot/tests/IdempotencyClaimsTest.cpp
@@ -118,7 +118,8 @@
         for (int i = 0; i < 100 && outcomes.empty(); ++i) {
             m_now += std::chrono::milliseconds { 100 };
             for (const auto& call : claims.takeCalls())
-                outcomes = claims.completed(call.token, makeError(ErrorCode::Unavailable, "commit", "store", "down"), m_now);
+                outcomes
+                    = claims.completed(call.token, makeError(ErrorCode::Unavailable, "commit", "store", "down"), m_now);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, outcomes.size());
         CPPUNIT_ASSERT(std::get<ClaimRefusal>(outcomes[0].result) == ClaimRefusal::StoreUnavailable);
