--- a/libs/budget/include/budget/BudgetHolder.h
+++ b/libs/budget/include/budget/BudgetHolder.h
@@ -8,13 +8,11 @@
 #include "budget/BudgetShare.h"
 #include "budget/Messages.h"
 
-#include <array>
 #include <atomic>
 #include <cstdint>
+#include <memory>
 #include <mutex>
 #include <optional>
-#include <unordered_map>
-#include <vector>
 
 namespace peridot {
 
@@ -37,11 +35,17 @@
 class BudgetHolder {
 public:
     BudgetHolder(InstanceId self, std::uint64_t incarnation, RegionId ledgerRegion, EventLog&);
+    ~BudgetHolder();
+    BudgetHolder(const BudgetHolder&) = delete;
+    BudgetHolder& operator=(const BudgetHolder&) = delete;
 
     /** Spends @p units if that many can be spent now, or none. */
     SpendOutcome trySpend(const BudgetKey&, Units units, TimePoint now);
 
-    /** Returns the demand to send now, if one is due. Its units expire 1 s after @p now, so send it without delay. */
+    /**
+     * Returns the demand to send now, if one is due. Its units expire 1 s after @p now, so send it without delay. Call
+     * it at least every 10 ms, and at once when SpendOutcome::isDemandDue says so and after accept.
+     */
     std::optional<BudgetDemand> nextDemand(TimePoint now);
     /** True if nextDemand would probably return a demand. */
     bool isDemandDue(TimePoint now) const noexcept;
@@ -58,61 +62,28 @@
     const RegionId& ledgerRegion() const noexcept { return m_ledgerRegion; }
 
 private:
-    struct Lot {
-        Units units = 0;
-        TimePoint expiry {};
-    };
-
-    /** One budget in use. Lots are in order of expiry. */
-    struct Entry {
-        std::vector<Lot> lots;
-        Units spentTotal = 0;
-        Units expiredTotal = 0;
-        Units refusedTotal = 0;
-        Units reportedSpent = 0; // Totals as of the last demand that named the key.
-        Units reportedRefused = 0;
-        Units unmetUnits = 0; // Units of requests refused since the last demand.
-        double usePerSecond = 0; // Units asked for, smoothed.
-        TimePoint lastDemand {};
-        TimePoint lastUse {};
-        TimePoint refillAt {}; // As the ledger stated it.
-        bool isQueued = false; // In the shard's list of keys in use.
-    };
-
-    struct KeyHash {
-        std::size_t operator()(const BudgetKey&) const noexcept;
-    };
-
-    using EntryMap = std::unordered_map<BudgetKey, Entry, KeyHash>;
-
-    struct alignas(64) Shard {
-        std::mutex mutex;
-        TimePoint latest {}; // Latest time of any call, so that a thread that was paused cannot spend expired units.
-        EntryMap entries;
-        std::vector<EntryMap::value_type*> inUse;
-    };
-
-    static constexpr std::size_t shardCount = 16;
+    struct Shard;
 
     Shard& shardOf(const BudgetKey&) noexcept;
-    static Units spendable(const Entry&) noexcept;
-    static void expire(Entry&, TimePoint now);
-    bool isUnderLowWaterMark(const Entry&) const noexcept;
-    void requestDemand(TimePoint at) noexcept;
-    void collect(Shard&, BudgetDemand&, TimePoint now);
+    void demandBy(TimePoint) noexcept;
+    bool collect(Shard&, BudgetDemand&, bool isEarly, TimePoint now);
+    void open(const BudgetDemand&, TimePoint now);
+    void takeItem(const BudgetGrantItem&, TimePoint now);
 
     const InstanceId m_self;
     const std::uint64_t m_incarnation;
     const RegionId m_ledgerRegion;
     EventLog& m_log;
-    std::array<Shard, shardCount> m_shards;
-    std::atomic<Duration::rep> m_dueAt; // Time at which the next demand is due.
+    const std::unique_ptr<Shard[]> m_shards;
+    std::atomic<TimePoint> m_dueAt { TimePoint::max() }; // When the next demand is due, unless one is open.
+    std::atomic<TimePoint> m_openUntil { TimePoint::min() }; // The open demand is given up at this time.
+    std::atomic<TimePoint> m_collectedAt { TimePoint {} }; // When all keys were last looked at for a demand.
+    std::atomic<Duration> m_roundTrip; // Smoothed time from a demand to its grant.
 
     std::mutex m_demandMutex;
     std::uint64_t m_sequence = 0;
     bool m_isOpen = false; // The demand m_sequence waits for its grant.
-    TimePoint m_sentAt {};
-    Duration m_answerTimeout;
+    TimePoint m_sentAt {}; // Of the open demand.
     std::uint64_t m_epoch = 0; // Highest epoch seen; grants with a lower one are dropped.
 };
 
--- a/libs/budget/include/budget/LedgerLease.h
+++ b/libs/budget/include/budget/LedgerLease.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace peridot {
 
@@ -23,15 +24,25 @@
 struct LeaseInputs {
     bool isCandidate = false; // This instance should hold the lease if nobody does (first rank of the live view).
     bool mayWrite = false; // Rule W: a heartbeat that said `storeReachable` was answered within the last second.
-    bool isRowHolderGone = false; // The instance named by rowHolder() is not in the live view; no need to wait for it.
+};
+
+/** The content of the row. */
+struct LeaseRow {
+    InstanceId holder; // Empty after a handover.
+    std::uint64_t incarnation = 0;
+    std::uint64_t epoch = 0;
+    std::string changeId; // Differs for each write.
+    std::string snapshot; // Ledger state of a handover.
 };
 
 /**
  * State machine of one lease. next() returns the store request to start, at most one at a time; completed() takes its
  * result. The epoch rises by one with each acquisition.
  *
- * After taking over from a holder that did not hand over, grantsFrom() is the lease lifetime plus the unit lifetime
- * after the row was won: the previous holder may have written or extended its lease until that moment.
+ * A row that names a holder is taken over after it stayed unchanged for the lease lifetime, with mayWrite all the
+ * while. This instance attested all the while that the store can be reached, so the holder cannot have extended its
+ * lease. After that, grantsFrom() is the lease lifetime plus the unit lifetime after the row was won. There is no wait
+ * after a handover, or if there was no row.
  *
  * Not thread-safe.
  */
@@ -40,6 +51,7 @@
     /** @p incarnation keeps apart the processes that run under the name @p self one after the other. */
     LedgerLease(RegionId, InstanceId self, std::uint64_t incarnation, EventLog&);
 
+    /** Call it every 10 ms, also while nothing can be written. */
     std::optional<StoreRequest> next(const LeaseInputs&, TimePoint now);
     void completed(const StoreResult&, TimePoint now);
 
@@ -51,14 +63,17 @@
      * the next holder takes over without a wait. isHeld() is false from now on.
      */
     void handOver(std::string snapshot, TimePoint now);
-    /** True if the handover row is written, or the row has become another instance's. */
+    /** True if the handover row is written, or there is nothing to hand over. */
     bool isHandedOver() const noexcept;
 
     /** True if this instance runs the ledger. The ledger grants from grantsFrom() on. */
-    bool isHeld(TimePoint now) const noexcept;
+    bool isHeld(TimePoint now) const noexcept { return m_isOurs && !m_isHandingOver && now < m_leaseEnd; }
     std::uint64_t epoch() const noexcept { return m_epoch; }
     TimePoint grantsFrom() const noexcept { return m_grantsFrom; }
-    /** Rises with each acquisition, and when a lease that had lapsed is renewed before another instance took it. */
+    /**
+     * Rises with each acquisition, and when a lease that had lapsed is renewed before another instance took it. Shares
+     * may have been released in between: ShareTable::next must see the new term before the ledger answers a demand.
+     */
     std::uint64_t term() const noexcept { return m_term; }
     /** The snapshot taken over from the previous holder; empty after a takeover from a crashed holder. */
     const std::string& inheritedSnapshot() const noexcept { return m_inheritedSnapshot; }
@@ -66,7 +81,7 @@
     /** Version of the row that this instance wrote last; 0 while a write is open or the lease is not held. */
     RowVersion confirmedRowVersion() const noexcept;
     /** The instance named in the row as last read; empty if there is none. */
-    const InstanceId& rowHolder() const noexcept { return m_rowHolder; }
+    const InstanceId& rowHolder() const noexcept { return m_row.holder; }
 
 private:
     enum class Step {
@@ -80,23 +95,27 @@
         HandOver,
     };
 
-    std::optional<StoreRequest> read(TimePoint now);
+    std::optional<StoreRequest> read();
     std::optional<StoreRequest> write(Purpose, TimePoint now);
-    void takeRow(const std::optional<TableRow>&, TimePoint now);
-    void confirm(RowVersion, TimePoint now);
+    bool mayAcquire(TimePoint now) const noexcept;
+    void takeRow(const TableRow&, TimePoint now);
+    void takeRead(const TableRows&, TimePoint now);
+    void takeCommit(const CommitResult&, TimePoint now);
+    void resolve(RowVersion expected, TimePoint now);
+    void confirm(TimePoint now);
     void lose(std::string_view reason);
-    bool mayAcquire(const LeaseInputs&, TimePoint now) const noexcept;
+    bool isRowOurs() const noexcept;
 
-    RegionId m_region;
-    InstanceId m_self;
-    std::uint64_t m_incarnation;
+    const RegionId m_region;
+    const InstanceId m_self;
+    const std::uint64_t m_incarnation;
     EventLog& m_log;
-    std::string m_rowKey;
 
     Step m_step = Step::Idle;
-    Purpose m_purpose = Purpose::Acquire;
-    bool m_isOurs = false; // The row named this process when last confirmed.
-    bool m_isResolving = false; // The outcome of the last write is unknown until the row has been read.
+    Purpose m_purpose = Purpose::Acquire; // Of the last write.
+    bool m_isOurs = false; // The row named this process when it was last confirmed.
+    bool m_isResolving = false; // The last write may have taken effect; the row has to be read.
+    bool m_mayLand = false; // An earlier write may still take effect, as long as the row keeps its version.
     bool m_isHandingOver = false;
     bool m_isHandedOver = false;
 
@@ -107,18 +126,20 @@
     std::string m_inheritedSnapshot;
     std::string m_snapshot; // To be handed over.
 
-    TimePoint m_writeBegan {};
-    std::uint64_t m_writeNumber = 0;
-    std::string m_changeId; // Of the last write, kept in the row.
+    TimePoint m_writeBegan {}; // Of the earliest write whose outcome is not known.
+    std::uint64_t m_writes = 0;
+    LeaseRow m_written; // The content of the last write.
+    bool m_isWaitNeeded = false; // The row to be acquired names a holder.
+    std::string m_offeredSnapshot; // Of the row to be acquired.
     TimePoint m_nextStep {};
 
-    bool m_hasRead = false;
+    bool m_isRowKnown = false;
     RowVersion m_rowVersion = 0;
-    InstanceId m_rowHolder;
-    std::uint64_t m_rowEpoch = 0;
-    bool m_rowIsHandover = false;
-    std::string m_rowSnapshot;
-    TimePoint m_rowUnchangedSince {};
+    LeaseRow m_row;
+    bool m_isRowReadable = true;
+    TimePoint m_rowSeenSince {}; // The row has had this version since then.
+    TimePoint m_mayWriteSince = TimePoint::max();
+    TimePoint m_lastCall {};
 };
 
 }
--- a/libs/budget/include/budget/Messages.h
+++ b/libs/budget/include/budget/Messages.h
@@ -46,7 +46,7 @@
     Units expiredTotal = 0; // Units that the holder let expire or gave back since it started; no longer spendable.
     Units held = 0; // Spendable now.
     Units wanted = 0;
-    Units refusedTotal = 0; // Requests refused for want of units since the holder started.
+    Units refusedTotal = 0; // Units of requests refused for want of units since the holder started.
 };
 
 struct BudgetDemand {
--- a/libs/budget/include/budget/RegionLedger.h
+++ b/libs/budget/include/budget/RegionLedger.h
@@ -12,7 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -100,12 +100,18 @@
     void restore(const LedgerSnapshot&, TimePoint now);
 
 private:
-    struct HolderState;
+    /** The newest demand of a holder and its answer. */
+    struct HolderState {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        TimePoint lastDemand {};
+        std::vector<BudgetGrantItem> answer;
+    };
 
     LedgerBucket& bucket(const BudgetKey&, TimePoint now);
-    BudgetGrantItem answerItem(
-        const InstanceId&, HolderState&, const BudgetDemand&, const BudgetDemandItem&, TimePoint);
-    void dropIdleHolders(TimePoint now);
+    LedgerBucket* findBucket(const BudgetKey&, TimePoint now);
+    void answerItem(const BudgetDemand&, const BudgetDemandItem&, TimePoint now, BudgetGrant&);
+    void sweep(TimePoint now);
 
     RegionId m_region;
     EventLog& m_log;
@@ -114,7 +120,10 @@
     TimePoint m_grantsFrom {};
     TimePoint m_nextSweep {};
     std::map<BudgetKey, std::unique_ptr<LedgerBucket>> m_buckets;
+    std::set<BudgetKey> m_removed; // Buckets to be dropped when nothing is outstanding.
     std::map<InstanceId, HolderState> m_holders;
+    std::map<BudgetKey, LedgerSnapshotItem> m_inherited; // Restored balances whose share has not been set yet.
+    TimePoint m_inheritedExpiry {};
 };
 
 }
