--- a/libs/routing/include/routing/BackendPool.h
+++ b/libs/routing/include/routing/BackendPool.h
@@ -8,14 +8,12 @@
 
 #include <tl/expected.hpp>
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -58,7 +56,7 @@
     NoServers, // The platform lists none that stays.
     AllExcluded, // Each usable server is in the caller's list of excluded ones.
     AllEjected,
-    AllAtLimit, // Each usable server is at its concurrency or connection limit; wait for the next finished().
+    AllAtLimit, // Each usable server is at its concurrency or connection limit.
 };
 
 template <>
@@ -84,9 +82,12 @@
     unsigned probeFailuresToEject = 3; // Consecutive.
     Duration firstEjection = std::chrono::seconds(1);
     Duration longestEjection = std::chrono::seconds(60);
+    std::uint32_t connectionsWanted = 4; // To each server of the subset, if the servers' limits allow it.
     double connectionReserve = 0.1; // Share of a server's connections left to instances not in the view yet.
 };
 
+class BackendServerState;
+
 /** Not thread-safe. `choose` picks; each `started` is followed by exactly one `finished`. */
 class BackendPool {
 public:
@@ -106,11 +107,13 @@
      *  slots. */
     void setEntryInstances(const std::vector<InstanceId>&);
 
-    /** Picks a server for a request. @p cost is the expected work relative to an average request of the service. */
+    /** Picks a server for a request. @p cost is the expected work relative to an average request of the service.
+     *  Up to its fair share of the region's slots an instance always gets a server; beyond it only one that is
+     * estimated to have a free slot. After AllAtLimit, ask again after the next finished() or report(). */
     tl::expected<BackendChoice, NoBackendReason> choose(
         TimePoint now, double cost, std::span<const BackendServerId> excluded = {});
 
-    /** The request was given to the server. */
+    /** The request is given to the server. Call it in the same step as choose(). */
     void started(TimePoint now, const BackendServerId&, double cost);
     /** The request left the server. @p latency counts from started(). */
     void finished(TimePoint now, const BackendServerId&, double cost, BackendOutcome, Duration latency);
@@ -138,16 +141,42 @@
     std::uint32_t usableSlots(TimePoint now) const;
 
 private:
-    struct Server;
+    using Servers = std::map<BackendServerId, std::unique_ptr<BackendServerState>>;
+    struct Candidate {
+        BackendServerState* server = nullptr;
+        double weight = 0; // Slots, reduced during slow start.
+        double score = 0; // Estimated load per slot; the lower one of two candidates wins.
+    };
+
+    BackendServerState& stateOf(const BackendServerId&);
+    std::size_t stayingCount() const noexcept;
+    std::size_t ejectedCount(TimePoint now) const noexcept;
+    void tryToEject(TimePoint now, BackendServerState&);
+    void restoreExcessEjections(TimePoint now);
+    void updateConnectionLimits();
+    /** Slots that belong to this instance if all instances use the same share. */
+    double fairShare(TimePoint now) const;
+    /** Load per slot from other instances, averaged over the reports by their weight. */
+    double meanForeignLoad(TimePoint now) const;
+    double meanShedShare(TimePoint now) const;
+    tl::expected<std::vector<Candidate>, NoBackendReason> candidates(
+        TimePoint now, double cost, std::span<const BackendServerId> excluded);
+    const Candidate& draw(const std::vector<Candidate>&, const Candidate* other);
+    void observeLatency(double latencyPerCost) noexcept;
 
     ServiceId m_service;
     InstanceId m_self;
     BackendPoolOptions m_options;
     RandomEngine& m_random;
     std::vector<InstanceId> m_instances; // Sorted; holds m_self.
-    std::map<BackendServerId, std::unique_ptr<Server>> m_servers; // With departed ones until their work has ended.
+    Servers m_servers; // With departed ones until their work has ended.
+    std::set<BackendServerId> m_departed; // No longer listed, but with running requests.
     std::uint32_t m_inFlight = 0;
     bool m_hasList = false;
+
+    // Seconds per unit of cost; 0 before the first success.
+    double m_latency = 0; // Recent mean over all servers.
+    double m_baseline = 0; // Of an uncongested pool: falls with m_latency at once, rises slowly.
 };
 
 }
--- a/libs/routing/include/routing/LookupPlanner.h
+++ b/libs/routing/include/routing/LookupPlanner.h
@@ -19,7 +19,7 @@
 
 /** What a plan is built from. */
 struct LookupInputs {
-    RegionId localRegion; // Region of the answering instance; serves clients without a home region.
+    RegionId localRegion; // Region of the answering instance; home of clients without one.
     std::vector<MemberInfo> instances; // The live view; instances that are not ready are never listed.
     std::set<RegionId> drainedRegions;
     std::set<FailureDomainId> drainedFailureDomains;
--- a/libs/routing/include/routing/RequestQueue.h
+++ b/libs/routing/include/routing/RequestQueue.h
@@ -107,25 +107,57 @@
 
         bool operator<(const Order& other) const noexcept;
     };
+    /** The request to displace first: least important, then due last. */
+    struct DisplacedBefore {
+        bool operator()(const Order& a, const Order& b) const noexcept;
+    };
     struct Entry {
         QueuedRequest request;
         Order order;
+        TimePoint queued;
         TimePoint expires;
     };
     struct Workspace {
         std::map<Order, RequestId> waiting;
+        std::set<Order, DisplacedBefore> displaceable; // The same requests.
         double cost = 0; // Of all waiting requests.
-        double credit = 0;
+        double credit = 0; // At most one quantum; negative after an expensive request.
         std::uint64_t round = 0; // The round in which credit was last added.
     };
+    using Workspaces = std::map<WorkspaceId, Workspace>;
+
+    TimePoint dueOf(const QueuedRequest&) const noexcept;
+    /** Longest wait after which the request still meets its target and deadline. */
+    Duration allowedWait(TimePoint now, const QueuedRequest&) const noexcept;
+    Duration waitFor(double costAhead, TimePoint now) const;
+    double costAhead(const WorkspaceId&, TimePoint due, double cost) const;
+    bool makeRoom(TimePoint now, const QueuedRequest&);
+    bool displaceForTarget(TimePoint now, const QueuedRequest&);
+    /** Returns a request of less importance in a workspace that waits for at least as much as this request's. */
+    std::optional<RequestId> displaceable(const QueuedRequest&) const;
+    void displace(TimePoint now, const RequestId&);
+    void insert(TimePoint now, QueuedRequest);
+    Entry erase(const RequestId&);
+    void expire(TimePoint now);
+    /** Returns the workspace whose first request is next; credits a new round if none may spend. */
+    Workspaces::iterator select();
+    void startRound();
+
+    void advanceRate(TimePoint now);
 
     RequestQueueOptions m_options;
     std::unordered_map<RequestId, Entry> m_requests;
-    std::map<WorkspaceId, Workspace> m_workspaces; // Those with waiting requests or served in this round.
+    Workspaces m_workspaces; // Those with waiting requests or with credit to settle in this round.
     std::set<std::pair<TimePoint, RequestId>> m_expiries;
     std::vector<RemovedRequest> m_removed;
     std::uint64_t m_round = 1;
     std::uint64_t m_sequence = 0;
+
+    // Drain rate: cost taken and time, both fading with the rate window.
+    TimePoint m_rateUpdated;
+    double m_busySeconds = 0; // While requests waited.
+    double m_busyCost = 0; // Of requests that had waited.
+    double m_allCost = 0; // Of all requests; divided by the window it bounds the rate from below.
 };
 
 }
--- a/libs/routing/include/routing/ShiftRamp.h
+++ b/libs/routing/include/routing/ShiftRamp.h
@@ -16,8 +16,8 @@
 };
 
 /** Rates at which one region accepts lookups from clients of foreign home regions. Not thread-safe.
- *  Invariants: the sum of all rates is at most the last stated headroom, and rises by at most `growthPerSecond` a
- *  second. */
+ *  Invariants: the sum of all rates is at most the last stated headroom; above `initialPerSecond` it rises by at
+ *  most `growthPerSecond` a second. */
 class ShiftRamp {
 public:
     explicit ShiftRamp(ShiftRampOptions);
@@ -34,7 +34,7 @@
 private:
     ShiftRampOptions m_options;
     TimePoint m_updated;
-    double m_ceiling = 0; // Largest total the growth cap allows; 0 while there is no shift.
+    bool m_hasUpdate = false;
     std::map<RegionId, double> m_rates;
 };
 
--- a/libs/routing/include/routing/SpillPolicy.h
+++ b/libs/routing/include/routing/SpillPolicy.h
@@ -47,13 +47,15 @@
 
 enum class StayReason {
     LocalHasHeadroom,
+    LocalMeetsTarget, // It is full, but its queue is short enough.
     TargetUnreachableElsewhere, // Delay and expected work do not fit the remaining time.
     NoHeadroomElsewhere,
 };
 
 template <>
-inline constexpr EnumNameTable<StayReason, 3> enumNames<StayReason> { {
+inline constexpr EnumNameTable<StayReason, 4> enumNames<StayReason> { {
     { StayReason::LocalHasHeadroom, "local_has_headroom" },
+    { StayReason::LocalMeetsTarget, "local_meets_target" },
     { StayReason::TargetUnreachableElsewhere, "target_unreachable_elsewhere" },
     { StayReason::NoHeadroomElsewhere, "no_headroom_elsewhere" },
 } };
