peridot: hold "reachable" only while a ledger lease is acquired

Cause: each renewal of the lease held the holder's attestation at "reachable" for another second, so that storeUnavailable was never concluded and all instances refused keyed requests 4 s into an outage. Change: only acquisitions hold it. Conclusion: a renewal changes no holder and needs no hold.

--- a/peridot/src/RegionLedgerHost.cpp
+++ b/peridot/src/RegionLedgerHost.cpp
@@ -102,8 +102,9 @@
     inputs.isCandidate = isCandidate();
     inputs.mayWrite = evidence.mayWrite(now);
     if (auto request = m_lease.next(inputs, now)) {
-        // The write may take effect until its timeout; no one may conclude before that nobody can write the row.
-        if (std::holds_alternative<TableCommit>(*request))
+        // An acquisition may take effect until its timeout; no one may conclude before that nobody can take the row. A
+        // renewal changes no holder, and holding "reachable" for it would hide every outage.
+        if (std::holds_alternative<TableCommit>(*request) && !m_lease.isHeld(now))
             m_membership.holdReachable(now + storeTimeout);
         actions.emplace_back(m_calls.add(StoreCaller::LedgerLease, 0, std::move(*request), storeTimeout, now));
     }
--- a/peridot/tests/NodeTest.cpp
+++ b/peridot/tests/NodeTest.cpp
@@ -88,7 +88,10 @@
         const auto result = m_fleet->node("a1").lookup({ ServiceId("booking"), "10.2.0.9" }, m_fleet->now);
         const auto& response = std::get<LookupResponse>(result);
         CPPUNIT_ASSERT_EQUAL(std::string("b"), response.instances.at(0).region.value());
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 6 }, response.instances.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), response.instances.at(1).region.value());
+        CPPUNIT_ASSERT(response.instances.at(0).failureDomain != response.instances.at(1).failureDomain);
+        // One instance of each other region follows, for the case that the home region is lost.
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, response.instances.size());
     }
 
     void refusesWithoutValidKey()
