--- a/libs/config/include/config/Configuration.h
+++ b/libs/config/include/config/Configuration.h
@@ -17,7 +17,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace peridot {
@@ -111,7 +110,7 @@
     std::map<ClassId, TrafficClass> classes;
     std::map<WorkspaceId, Workspace> workspaces;
     std::map<KeyId, AccessKey> keys;
-    std::map<KeyId, AccessKey> withdrawnKeys; // Kept for good: a withdrawn id is never issued again.
+    std::set<KeyId> withdrawnKeys; // Kept for good: a withdrawn id is never issued again.
     std::set<Drain> drains;
     std::map<std::string, FieldChange> fields; // By field name, such as "classes/booking/target_latency_ms".
 
--- a/libs/config/include/config/ConfigurationReader.h
+++ b/libs/config/include/config/ConfigurationReader.h
@@ -74,8 +74,10 @@
     };
 
     void readHead(TimePoint now, Output&);
-    void askNext(const std::vector<InstanceId>& peers, TimePoint now, Output&);
     void headArrived(const TableRows&, const OpenCall&, TimePoint now, Output&);
+    void fetchObject(const HeadRow&, TimePoint now, Output&);
+    void fetchNewer(const std::vector<InstanceId>& peers, TimePoint now, Output&);
+    void dropOverdueCalls(TimePoint now);
     void objectArrived(const ObjectValue&, const OpenCall&, Output&);
     bool take(std::string_view body, ConfigurationVersion expected, const std::string& source);
 
@@ -91,7 +93,7 @@
     std::optional<TimePoint> m_lastAttempt; // Of a fetch of a newer version.
     std::uint32_t m_attempts = 0; // Since the last version arrived.
     std::uint64_t m_openPull = 0; // Sequence of the newest pull; only its answer is taken.
-    bool m_isFetchingObject = false;
+    std::optional<TimePoint> m_objectCallStart; // Set while an object is being fetched from the store.
 };
 
 }
--- a/libs/config/include/config/ConfigurationWriter.h
+++ b/libs/config/include/config/ConfigurationWriter.h
@@ -58,6 +58,9 @@
     Duration deadline = std::chrono::seconds { 10 }; // From submission to the last possible outcome.
     Duration callTimeout = std::chrono::seconds { 2 };
     Duration retryDelay = std::chrono::milliseconds { 100 }; // Before a store call that failed is repeated.
+    // While rule W does not allow the commit. The head row is read again, which keeps this instance's heartbeats saying
+    // that it reaches the store.
+    Duration permissionDelay = std::chrono::milliseconds { 250 };
 };
 
 /** What evidence says about writing; see Evidence.h. */
@@ -86,34 +89,46 @@
     /** Repeats delayed calls and ends requests whose deadline has passed. */
     Output tick(TimePoint now);
 
-    /** The newest configuration that this writer has seen in the store; null if there is none yet. */
+    /**
+     * The newest configuration that this writer has seen in force; null if there is none yet. Pass it to
+     * ConfigurationReader::adopt after each call.
+     */
     std::shared_ptr<const Configuration> newest() const noexcept { return m_newest; }
+    /**
+     * The highest version that this writer has seen in the head row. Pass it to Membership::heard after each call: a
+     * change is accepted only once relays know its version.
+     */
+    ConfigurationVersion highestVersion() const noexcept { return m_highest; }
     std::size_t openRequests() const noexcept { return m_requests.size(); }
 
 private:
     enum class Step {
+        Queued, // Another request of this writer is before it. One commit at a time saves lost races.
         ReadHead,
         FetchObject,
         PutObject,
-        AwaitPermission, // The object is stored, but rule W does not allow the commit yet.
         Commit,
         AwaitPeers, // The change is in the head row, but relays have not confirmed its version yet.
+        Done,
     };
     struct Request;
 
+    void startNext(TimePoint now, Output&);
     void start(Request&, Step, TimePoint now, Output&);
-    void retryLater(Request&, Step, TimePoint now);
-    void advance(Request&, const StoreResult&, TimePoint now, Output&);
-    void headRead(Request&, const TableRow*, TimePoint now, Output&);
-    void headFound(Request&, TimePoint now, Output&);
-    void objectFetched(Request&, const ObjectValue&, TimePoint now, Output&);
+    void retryLater(Request&, Step, Duration delay, TimePoint now);
+    void advance(Request&, const StoreValue&, TimePoint now, Output&);
+    void headArrived(Request&, const TableRow*, TimePoint now, Output&);
+    void objectArrived(Request&, const ObjectValue&, TimePoint now, Output&);
     void rebase(Request&, TimePoint now, Output&);
-    void committed(Request&, const CommitResult&, TimePoint now, Output&);
-    void failed(Request&, const Error&, TimePoint now);
+    void prepare(Request&, Configuration next, TimePoint now, Output&);
+    void commitOrWait(Request&, TimePoint now, Output&);
+    void commitCompleted(Request&, const CommitResult&, TimePoint now, Output&);
+    void callFailed(Request&, const Error&, TimePoint now);
     void awaitPeers(Request&, ConfigurationVersion, TimePoint now, Output&);
     void expire(Request&, Output&);
     void finish(Request&, ChangeResult, Output&);
-    void removeFinished();
+    void removeFinished(TimePoint now, Output&);
+    void sawNewer(std::shared_ptr<const Configuration>);
     StoreRequest makeCall(const Request&) const;
 
     ConfigurationWriterSettings m_settings;
@@ -121,7 +136,9 @@
     EventLog& m_log;
     std::uint64_t m_nextCall = 1;
     std::shared_ptr<const Configuration> m_newest; // Never replaced by a lower version.
+    ConfigurationVersion m_highest = 0;
     std::map<std::string, std::unique_ptr<Request>> m_requests; // By change id.
+    std::uint64_t m_nextOrder = 0; // Of arrival.
     std::map<std::uint64_t, std::string> m_calls; // Open calls to change ids. A request has at most one.
 };
 
--- a/libs/config/include/config/HeadRow.h
+++ b/libs/config/include/config/HeadRow.h
@@ -23,7 +23,7 @@
 struct HeadRow {
     // A writer looks for its change here if an answer was lost. At 3,900 changes a day with peaks of some per second,
     // 64 entries cover the longest time that a writer keeps a change open (30 s).
-    static constexpr std::size_t recentChangeLimit = 64;
+    static constexpr std::size_t s_recentChangeLimit = 64;
 
     ConfigurationVersion version = 0;
     std::string objectKey;
--- a/libs/membership/include/membership/Evidence.h
+++ b/libs/membership/include/membership/Evidence.h
@@ -31,9 +31,9 @@
 
 class Evidence {
 public:
-    static constexpr Duration freshFor = std::chrono::seconds { 4 };
-    static constexpr Duration attestationLimit = std::chrono::seconds { 2 };
-    static constexpr Duration writeWindow = std::chrono::seconds { 1 };
+    static constexpr Duration s_freshFor = std::chrono::seconds { 4 };
+    static constexpr Duration s_attestationLimit = std::chrono::seconds { 2 };
+    static constexpr Duration s_writeWindow = std::chrono::seconds { 1 };
 
     /** A read of the head row that was started at @p readStart returned @p version. */
     void confirmed(ConfigurationVersion version, TimePoint readStart);
--- a/libs/membership/include/membership/LiveView.h
+++ b/libs/membership/include/membership/LiveView.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace peridot {
@@ -24,25 +25,31 @@
         std::optional<TimePoint> silentSince; // Set exactly while version.isSilent.
         ConfigurationVersion lowestVersion = 0;
         std::vector<ServiceLoad> loads;
+        std::optional<TimePoint> reportTime; // Of lowestVersion and loads.
+        // False while members come from the platform's list only.
+        bool isConfirmed = false;
     };
 
     // A silent domain is kept for the attestations until the platform's list has dropped it, see Evidence.h. The list
     // lags, so a domain that is merely missing from it for a shorter time is kept as well.
-    static constexpr Duration forgetAfter = std::chrono::seconds { 30 };
+    static constexpr Duration s_forgetAfter = std::chrono::seconds { 30 };
 
     /** Adds a member or changes it. For the relay of the member's domain. */
     void put(const MemberInfo&);
     /** For the relay of the domain. */
-    void remove(const FailureDomainId&, const InstanceId&);
+    void remove(const FailureDomainId&, const InstanceId&, TimePoint now);
     void setSilent(const FailureDomainId&, bool isSilent, TimePoint now);
     /** Names a domain before any of its members is known. */
     void addDomain(const FailureDomainId&, const RegionId&);
-    void setReport(const FailureDomainId&, ConfigurationVersion lowest, std::vector<ServiceLoad> loads);
+    void setReport(const FailureDomainId&, ConfigurationVersion lowest, std::vector<ServiceLoad> loads, TimePoint asOf);
 
     /** Takes what a relay said. The list may still differ afterwards; then the next request names what is known. */
     void apply(const DomainSummary&, TimePoint now);
-    /** Adds domains and, where no member of a domain is known, its members. Drops domains that are gone for good. */
-    void applyPlatformList(const std::vector<PlatformInstance>&, TimePoint now);
+    /**
+     * Adds domains, members of @p own that are not known and members of domains that no relay has confirmed yet. Drops
+     * domains that are gone for good.
+     */
+    void applyPlatformList(const std::vector<PlatformInstance>&, const FailureDomainId& own, TimePoint now);
     bool hasPlatformList() const noexcept { return m_hasPlatformList; }
 
     const std::map<FailureDomainId, Domain>& domains() const noexcept { return m_domains; }
@@ -61,7 +68,7 @@
     std::vector<KnownView> known() const;
     KnownView known(const FailureDomainId&) const;
     /** A summary without members, for the parts that are no list. */
-    DomainSummary report(const FailureDomainId&) const;
+    DomainSummary report(const FailureDomainId&, TimePoint now) const;
     /** The changes of a domain since @p known, or its full list if that state is too old. */
     DomainSummary changesSince(const KnownView& known) const;
     /** The changes since the state with this hash(); empty if that state is too old. */
@@ -71,6 +78,8 @@
     // A relay sees some changes per second at most (230 restarts a day, bursts at deployments), and peers ask twice a
     // second.
     static constexpr std::size_t s_historyLimit = 256;
+    // The platform's list names a dead instance for some time; it must not bring the instance back.
+    static constexpr Duration s_removalMemory = std::chrono::seconds { 60 };
 
     struct HistoryEntry {
         std::uint64_t hashBefore = 0; // Of all domains.
@@ -80,12 +89,17 @@
     };
 
     Domain& domain(const FailureDomainId&, const RegionId&);
-    void change(const FailureDomainId&, Domain&, const InstanceId&, const std::function<void()>& apply);
+    void record(const FailureDomainId&, const Domain&, const InstanceId& member);
+    void setVersion(const FailureDomainId&, Domain&, const ViewVersion&);
+    void erase(const FailureDomainId&, Domain&, const InstanceId&);
+    void addListed(const PlatformInstance&, const FailureDomainId& own);
+    void forgetAbsentDomains(const std::set<FailureDomainId>& listed, TimePoint now);
     DomainSummary summarise(const FailureDomainId&, std::size_t firstEntry) const;
 
     std::map<FailureDomainId, Domain> m_domains;
     std::map<InstanceId, FailureDomainId> m_domainOf;
-    std::deque<HistoryEntry> m_history;
+    std::map<InstanceId, TimePoint> m_removed; // By this instance as a relay.
+    std::deque<HistoryEntry> m_history; // Oldest first.
     std::uint64_t m_hash = 0; // Equals the sum over m_domains of the hashes of name and version.
     bool m_hasPlatformList = false;
 };
--- a/libs/membership/include/membership/MemberAgent.h
+++ b/libs/membership/include/membership/MemberAgent.h
@@ -7,12 +7,13 @@
 #include "membership/LiveView.h"
 #include "membership/MembershipSettings.h"
 #include "membership/Messages.h"
+#include "membership/RelayRank.h"
 #include "membership/StoreContact.h"
 
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
+#include <utility>
 #include <vector>
 
 namespace peridot {
@@ -28,13 +29,16 @@
     MemberAgent(const MembershipSettings&, MemberInfo self, LiveView&, Evidence&, const StoreContact&,
         std::uint64_t randomSeed, EventLog&);
 
-    std::vector<Send> tick(TimePoint now);
-    /** @p takesView is false where this instance is a relay and keeps the view by its own pulls. */
+    /** @p wantsView is false where this instance is a relay and keeps the view by its own pulls. */
+    std::vector<Send> tick(bool wantsView, TimePoint now);
     void receive(const InstanceId& relay, const HeartbeatReply&, bool takesView, TimePoint now);
+    /** This process was paused; unanswered heartbeats say nothing about the relays. */
+    void resumed() noexcept;
     /** Sends the next heartbeats with the next tick. */
     void hurry() noexcept { m_next = TimePoint {}; }
 
     void setState(InstanceState state) { m_self.state = state; }
+    void setLedgerEpoch(std::uint64_t epoch) noexcept { m_self.ledgerEpoch = epoch; }
     void setLoads(std::vector<ServiceLoad> loads) { m_loads = std::move(loads); }
     void setVersionInForce(ConfigurationVersion version) noexcept { m_inForce = version; }
     void heard(ConfigurationVersion version) noexcept { m_highest = std::max(m_highest, version); }
@@ -43,27 +47,33 @@
     ConfigurationVersion highestVersion() const noexcept { return m_highest; }
     /** Lowest version in force everywhere, as the relays report it. */
     ConfigurationVersion lowestVersion() const noexcept { return m_lowest; }
-    /** Relays of the own domain that do not answer, with the time of their last answer. */
-    std::set<InstanceId> silentRelays() const;
-    std::optional<TimePoint> lastAnswer(const InstanceId& relay) const;
+    SilentRelays silentRelays() const;
     /** Whether all relays that this instance talks to have had @p version confirmed by another domain. */
     bool isKnownToPeers(ConfigurationVersion version, TimePoint now) const;
 
 private:
+    struct Sent {
+        TimePoint time;
+        bool saidReachable = false;
+    };
+
     struct Relay {
         std::uint64_t sequence = 0; // Of the newest heartbeat.
-        std::map<std::uint64_t, std::pair<TimePoint, bool>> open; // Send time and whether it said "reachable".
-        std::uint64_t answered = 0; // Highest answered sequence; older replies are dropped.
+        std::uint64_t answered = 0; // Highest answered sequence.
+        std::map<std::uint64_t, Sent> open; // Heartbeats without an answer, from the last seconds.
         std::uint64_t token = 0;
-        std::optional<TimePoint> firstUnanswered;
+        std::optional<TimePoint> unansweredSince; // Send time of the first heartbeat after the last answered one.
         std::optional<TimePoint> lastAnswer;
         std::optional<TimePoint> silentSince;
+        TimePoint nextRetry; // While silent.
         ConfigurationVersion witnessed = 0;
         bool namesKnown = false; // The next heartbeat names the versions of all domains.
     };
 
     void updateSilence(TimePoint now);
+    void addSend(const InstanceId& relay, bool wantsView, TimePoint now, std::vector<Send>&);
     Heartbeat makeHeartbeat(Relay&, bool wantsView, TimePoint now);
+    void takeView(Relay&, const HeartbeatReply&, TimePoint now);
 
     MembershipSettings m_settings;
     MemberInfo m_self;
--- a/libs/membership/include/membership/Membership.h
+++ b/libs/membership/include/membership/Membership.h
@@ -6,6 +6,8 @@
 #include "membership/MemberAgent.h"
 #include "membership/RelayAgent.h"
 
+#include <optional>
+#include <random>
 #include <string>
 #include <variant>
 #include <vector>
@@ -25,9 +27,9 @@
 public:
     // A member that is no reader polls the store itself if its evidence is older than this, at random intervals within
     // these bounds: 1,500 members then make 500 reads per second, a quarter of the platform's rate.
-    static constexpr Duration selfReadAge = std::chrono::milliseconds { 1500 };
-    static constexpr Duration selfReadLowest = std::chrono::seconds { 2 };
-    static constexpr Duration selfReadHighest = std::chrono::seconds { 4 };
+    static constexpr Duration s_selfReadAge = std::chrono::milliseconds { 1500 };
+    static constexpr Duration s_selfReadLowest = std::chrono::seconds { 2 };
+    static constexpr Duration s_selfReadHighest = std::chrono::seconds { 4 };
 
     Membership(MembershipSettings, MemberInfo self, std::uint64_t randomSeed, EventLog&);
     Membership(const Membership&) = delete;
@@ -46,10 +48,11 @@
     void storeSucceeded(TimePoint now) noexcept { m_contact.succeeded(now); }
     void holdReachable(TimePoint until) noexcept { m_contact.holdReachable(until); }
     /** A version is in force here. */
-    void adopted(ConfigurationVersion) noexcept;
+    void adopted(ConfigurationVersion);
     /** A version exists, for example because this instance has just written it. */
-    void heard(ConfigurationVersion) noexcept;
+    void heard(ConfigurationVersion);
     void setState(InstanceState state) { m_member.setState(state); }
+    void setLedgerEpoch(std::uint64_t epoch) noexcept { m_member.setLedgerEpoch(epoch); }
     void setLoads(std::vector<ServiceLoad> loads) { m_member.setLoads(std::move(loads)); }
 
     const LiveView& view() const noexcept { return m_view; }
@@ -70,7 +73,12 @@
     std::vector<InstanceId> configurationPeers() const;
 
 private:
+    // A longer time between two ticks is a pause of the process.
+    static constexpr Duration s_longestTick = std::chrono::milliseconds { 400 };
+
+    void noticePause(TimePoint now);
     void scheduleSelfRead(TimePoint now);
+    void addSends(std::vector<MemberAgent::Send>, TimePoint now, std::vector<MembershipSend>&);
 
     LiveView m_view;
     Evidence m_evidence;
@@ -78,6 +86,7 @@
     MemberAgent m_member;
     RelayAgent m_relay;
     std::mt19937_64 m_random;
+    std::optional<TimePoint> m_lastTick;
     TimePoint m_nextSelfRead;
     TimePoint m_selfReadUntil;
 };
--- a/libs/membership/include/membership/RelayAgent.h
+++ b/libs/membership/include/membership/RelayAgent.h
@@ -8,10 +8,11 @@
 #include "membership/LiveView.h"
 #include "membership/MembershipSettings.h"
 #include "membership/Messages.h"
+#include "membership/RelayRank.h"
 
 #include <map>
 #include <optional>
-#include <set>
+#include <string>
 #include <vector>
 
 namespace peridot {
@@ -27,10 +28,13 @@
     RelayAgent(const MembershipSettings&, const MemberInfo& self, LiveView&, Evidence&, EventLog&);
 
     /** @p silent are the relays of the own domain that do not answer this instance as a member. */
-    std::vector<Send> tick(const std::set<InstanceId>& silent, TimePoint now);
+    std::vector<Send> tick(const SilentRelays& silent, TimePoint now);
     HeartbeatReply receive(const Heartbeat&, TimePoint now);
-    Digest receive(const DigestPull&, TimePoint now);
-    void receive(const InstanceId& from, const Digest&, TimePoint now);
+    /** @p address is where the sender takes messages. */
+    Digest receive(const DigestPull&, const std::string& address, TimePoint now);
+    void receive(const Digest&, TimePoint now);
+    /** This process was paused; silence during the pause says nothing about others. */
+    void resumed(TimePoint now);
 
     /** Whether this instance is one of the relays of its domain by its own view. */
     bool isActive() const noexcept { return m_activeSince.has_value(); }
@@ -38,50 +42,60 @@
     ConfigurationVersion highestVersion() const noexcept { return m_highest; }
 
 private:
+    /** The newest heartbeat of a member. Kept for a while after the member was removed: a late one must not revive it.
+     */
     struct Member {
         std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
         TimePoint lastHeard;
-        std::optional<TimePoint> asOf; // The newest statements were made after this time.
+        std::optional<TimePoint> asOf; // Its statements were made after this time.
         bool isReachable = false;
         ConfigurationVersion version = 0; // In force.
         std::vector<ServiceLoad> loads;
-        std::uint64_t sequence = 0;
     };
 
-    /** Of one domain, by a relay of it other than this instance. */
+    /** What a relay said about the store on behalf of its domain. */
     struct Attestation {
         bool isReachable = false;
         TimePoint asOf;
     };
 
     struct OpenPull {
-        InstanceId to;
+        FailureDomainId domain;
         TimePoint sent;
         ConfigurationVersion highest = 0;
         bool saidReachable = false;
     };
 
-    struct Peer { // Another domain, or the own one for the fellow relay.
+    /** The relay that is pulled in another domain, or the fellow relay in the own one. */
+    struct Peer {
         InstanceId target;
-        std::map<std::uint64_t, OpenPull> open;
+        std::optional<TimePoint> unansweredSince;
+        std::optional<TimePoint> lastAnswer; // Of any target in this domain.
         std::uint64_t answered = 0;
-        std::optional<TimePoint> lastAnswer;
-        std::optional<TimePoint> askedSince; // The target, without an answer so far.
-        std::set<InstanceId> passedOver; // Targets that did not answer, until all of them were tried.
+        std::map<InstanceId, TimePoint> passedOver; // Targets that did not answer, and since when.
         std::optional<Attestation> attestation;
     };
 
-    void activate(const std::set<InstanceId>& silent, TimePoint now);
-    void removeSilentMembers(const std::set<InstanceId>& silent, TimePoint now);
+    void activate(const SilentRelays&, TimePoint now);
+    void removeSilentMembers(const SilentRelays&, TimePoint now);
     void markSilentDomains(TimePoint now);
-    void chooseTarget(const FailureDomainId&, Peer&, const std::set<InstanceId>& silent, TimePoint now);
-    std::optional<Send> pull(const FailureDomainId&, Peer&, TimePoint now);
-    std::optional<Attestation> ownAttestation(TimePoint now) const;
-    void concludeStoreState(TimePoint now);
-    bool isOwnDomainReachable(TimePoint now) const;
+    void updateOwnReport(TimePoint now);
+    void pullAll(const SilentRelays&, TimePoint now, std::vector<Send>&);
+    InstanceId chooseTarget(const FailureDomainId&, Peer&, const SilentRelays&, TimePoint now) const;
+    void pull(const FailureDomainId&, const MemberInfo& target, TimePoint now, std::vector<Send>&);
+    void recordHeartbeat(const Heartbeat&, TimePoint now);
+    std::vector<DomainSummary> viewFor(const Heartbeat&, TimePoint now) const;
+    bool isOwnDomainReachable() const;
     bool isPeerReachable(TimePoint now) const;
-    bool hasOtherDomains() const;
-    void updateOwnReport();
+    /** By the heartbeats of the members; empty if one of them has made no statement yet. */
+    std::optional<Attestation> ownAttestation() const;
+    /** By the heartbeats and by the fellow relay. */
+    std::optional<Attestation> domainAttestation() const;
+    /** The oldest attestation, if those of all domains are recent and none reaches the store. */
+    std::optional<TimePoint> storeUnavailableAsOf(TimePoint now) const;
+    void concludeStoreState(TimePoint now);
+    void updateReachability();
 
     MembershipSettings m_settings;
     const MemberInfo& m_self;
@@ -89,16 +103,19 @@
     Evidence& m_evidence;
     EventLog& m_log;
     std::optional<TimePoint> m_activeSince;
-    std::size_t m_rank = 0; // Among the relays of the own domain; chooses the partner in other domains.
-    std::optional<TimePoint> m_started; // Of the first call; tokens from before are of an earlier incarnation.
+    std::size_t m_rank = 0; // Among the relays of the own domain; the partner in other domains has the same one.
+    std::optional<TimePoint> m_started; // Of the first call; earlier tokens are of an earlier incarnation.
+    TimePoint m_resumed; // Silence before this time was this process's own.
     std::map<InstanceId, Member> m_members; // Of the own domain, by their heartbeats.
     std::map<FailureDomainId, Peer> m_peers;
+    std::map<std::uint64_t, OpenPull> m_open;
     std::map<InstanceId, TimePoint> m_heardReachable; // Relays of other domains whose last pull said "reachable".
     std::uint64_t m_nextSequence = 1;
     TimePoint m_nextPulls;
     ConfigurationVersion m_highest = 0;
     ConfigurationVersion m_witnessedVersion = 0;
     std::optional<TimePoint> m_reachabilityWitnessed; // Send time of the newest answered pull that said "reachable".
+    bool m_wasReachable = false;
     bool m_isStoreUnavailable = false;
 };
 
--- a/libs/membership/include/membership/StoreContact.h
+++ b/libs/membership/include/membership/StoreContact.h
@@ -12,7 +12,7 @@
 public:
     // Readers poll every 500 ms, so two lost polls do not count as an outage. Evidence of an outage has to reach all
     // members before the last confirmed evidence lapses after 4 s, which leaves no more than this.
-    static constexpr Duration reachableFor = std::chrono::milliseconds { 1200 };
+    static constexpr Duration s_reachableFor = std::chrono::milliseconds { 1200 };
 
     /** A store call has succeeded. */
     void succeeded(TimePoint now) noexcept { m_lastSuccess = now; }
--- /dev/null
+++ b/libs/membership/src/Membership.cpp
@@ -0,0 +1,140 @@
+#include "membership/Membership.h"
+
+#include <algorithm>
+
+namespace peridot {
+
+namespace {
+
+    // Long enough for the caller's next tick, shorter than the reader's poll interval.
+    constexpr Duration selfReadWindow = std::chrono::milliseconds { 100 };
+
+    template <typename... Functions> struct Overloaded : Functions... {
+        using Functions::operator()...;
+    };
+    template <typename... Functions> Overloaded(Functions...) -> Overloaded<Functions...>;
+
+}
+
+Membership::Membership(MembershipSettings settings, MemberInfo self, std::uint64_t randomSeed, EventLog& log)
+    : m_member(settings, std::move(self), m_view, m_evidence, m_contact, randomSeed, log)
+    , m_relay(settings, m_member.self(), m_view, m_evidence, log)
+    , m_random(randomSeed + 1)
+{
+    m_view.put(m_member.self());
+}
+
+std::vector<MembershipSend> Membership::tick(TimePoint now)
+{
+    std::vector<MembershipSend> sends;
+    noticePause(now);
+    scheduleSelfRead(now);
+    addSends(m_member.tick(!m_relay.isActive(), now), now, sends);
+    for (auto& send : m_relay.tick(m_member.silentRelays(), now))
+        sends.push_back({ std::move(send.to), std::move(send.address), std::move(send.message) });
+    return sends;
+}
+
+void Membership::noticePause(TimePoint now)
+{
+    if (m_lastTick && now - *m_lastTick > s_longestTick) {
+        m_member.resumed();
+        m_relay.resumed(now);
+    }
+    m_lastTick = now;
+}
+
+void Membership::scheduleSelfRead(TimePoint now)
+{
+    const auto time = m_evidence.time();
+    if ((time && now - *time < s_selfReadAge) || now < m_nextSelfRead)
+        return;
+    std::uniform_int_distribution<Duration::rep> interval(s_selfReadLowest.count(), s_selfReadHighest.count());
+    m_nextSelfRead = now + Duration { interval(m_random) };
+    m_selfReadUntil = now + selfReadWindow;
+}
+
+void Membership::addSends(std::vector<MemberAgent::Send> heartbeats, TimePoint now, std::vector<MembershipSend>& sends)
+{
+    for (auto& send : heartbeats) {
+        if (send.to == self().id)
+            m_member.receive(send.to, m_relay.receive(send.message, now), !m_relay.isActive(), now);
+        else
+            sends.push_back({ std::move(send.to), std::move(send.address), std::move(send.message) });
+    }
+}
+
+std::vector<MembershipSend> Membership::receive(
+    const InstanceId& from, const std::string& address, const MembershipMessage& message, TimePoint now)
+{
+    std::vector<MembershipSend> sends;
+    noticePause(now);
+    std::visit(Overloaded {
+                   [&](const Heartbeat& value) {
+                       sends.push_back({ from, address, m_relay.receive(value, now) });
+                   },
+                   [&](const DigestPull& value) {
+                       sends.push_back({ from, address, m_relay.receive(value, address, now) });
+                   },
+                   [&](const HeartbeatReply& value) { m_member.receive(from, value, !m_relay.isActive(), now); },
+                   [&](const Digest& value) { m_relay.receive(value, now); },
+               },
+        message);
+    m_member.heard(m_relay.highestVersion());
+    m_relay.heard(m_member.highestVersion());
+    return sends;
+}
+
+void Membership::applyPlatformList(const std::vector<PlatformInstance>& instances, TimePoint now)
+{
+    m_view.applyPlatformList(instances, self().failureDomain, now);
+}
+
+void Membership::headRead(ConfigurationVersion version, TimePoint readStart, TimePoint now)
+{
+    m_evidence.confirmed(version, readStart);
+    m_contact.succeeded(now);
+    heard(version);
+}
+
+void Membership::adopted(ConfigurationVersion version)
+{
+    m_evidence.adopted(version);
+    m_member.setVersionInForce(version);
+    heard(version);
+}
+
+void Membership::heard(ConfigurationVersion version)
+{
+    if (version <= highestVersion())
+        return;
+    m_member.heard(version);
+    m_relay.heard(version);
+    m_member.hurry();
+}
+
+ConfigurationVersion Membership::highestVersion() const noexcept
+{
+    return std::max({ m_member.highestVersion(), m_relay.highestVersion(), m_evidence.version() });
+}
+
+std::vector<InstanceId> Membership::configurationPeers() const
+{
+    std::vector<InstanceId> peers;
+    const auto add = [&](const FailureDomainId& domain) {
+        for (auto& id : relaysOf(m_view, domain, m_member.silentRelays())) {
+            if (id != self().id)
+                peers.push_back(std::move(id));
+        }
+    };
+    add(self().failureDomain);
+    if (!isRelay())
+        return peers;
+    for (const auto& [id, domain] : m_view.domains()) {
+        if (id != self().failureDomain && !domain.version.isSilent)
+            add(id);
+    }
+    return peers;
+}
+
+}
--- /dev/null
+++ b/libs/membership/src/RelayAgent.cpp
@@ -0,0 +1,427 @@
+#include "membership/RelayAgent.h"
+
+#include <algorithm>
+
+namespace peridot {
+
+namespace {
+
+    // A digest that answers later than this teaches nothing.
+    constexpr Duration longestOpen = std::chrono::seconds { 5 };
+    // Longer than any message is late, so that a removed member is not revived by an old heartbeat.
+    constexpr Duration memberMemory = std::chrono::seconds { 60 };
+    // Stands for "no statement".
+    constexpr Duration noAge = std::chrono::hours { 1 };
+
+}
+
+RelayAgent::RelayAgent(
+    const MembershipSettings& settings, const MemberInfo& self, LiveView& view, Evidence& evidence, EventLog& log)
+    : m_settings(settings)
+    , m_self(self)
+    , m_view(view)
+    , m_evidence(evidence)
+    , m_log(log)
+{
+}
+
+std::vector<RelayAgent::Send> RelayAgent::tick(const SilentRelays& silent, TimePoint now)
+{
+    std::vector<Send> sends;
+    if (!m_started)
+        m_started = now;
+    activate(silent, now);
+    std::erase_if(m_open, [&](const auto& item) { return now - item.second.sent > longestOpen; });
+    std::erase_if(m_members, [&](const auto& item) { return now - item.second.lastHeard > memberMemory; });
+    if (!m_activeSince)
+        return sends;
+    removeSilentMembers(silent, now);
+    markSilentDomains(now);
+    updateReachability();
+    concludeStoreState(now);
+    if (now >= m_nextPulls) {
+        m_nextPulls = now + m_settings.digestInterval;
+        updateOwnReport(now);
+        pullAll(silent, now, sends);
+    }
+    return sends;
+}
+
+void RelayAgent::activate(const SilentRelays& silent, TimePoint now)
+{
+    const auto relays = relaysOf(m_view, m_self.failureDomain, silent);
+    const auto it = std::find(relays.begin(), relays.end(), m_self.id);
+    const bool isRelay = it != relays.end();
+    if (isRelay)
+        m_rank = static_cast<std::size_t>(it - relays.begin());
+    if (isRelay == isActive())
+        return;
+    m_log.write(LogLevel::Info,
+        LogLine("relay_role").add("self", m_self.id).add("domain", m_self.failureDomain).add("active", isRelay));
+    m_peers.clear();
+    m_isStoreUnavailable = false;
+    if (isRelay)
+        m_activeSince = now;
+    else
+        m_activeSince.reset();
+}
+
+void RelayAgent::resumed(TimePoint now) { m_resumed = now; }
+
+void RelayAgent::removeSilentMembers(const SilentRelays& silent, TimePoint now)
+{
+    const auto* own = m_view.findDomain(m_self.failureDomain);
+    std::vector<InstanceId> gone;
+    for (const auto& [id, info] : own->members) {
+        if (id == m_self.id)
+            continue;
+        auto heard = std::max(*m_activeSince, m_resumed);
+        // A relay that does not answer has been silent for longer than this instance has been in its place.
+        if (const auto it = silent.find(id); it != silent.end())
+            heard = std::max(it->second, m_resumed);
+        if (const auto it = m_members.find(id); it != m_members.end())
+            heard = std::max(heard, it->second.lastHeard);
+        if (now - heard > m_settings.memberSilence)
+            gone.push_back(id);
+    }
+    for (const auto& id : gone) {
+        m_view.remove(m_self.failureDomain, id, now);
+        m_log.write(LogLevel::Info, LogLine("member_removed").add("member", id).add("relay", m_self.id));
+    }
+}
+
+void RelayAgent::markSilentDomains(TimePoint now)
+{
+    std::vector<FailureDomainId> silent;
+    for (const auto& [id, domain] : m_view.domains()) {
+        if (id == m_self.failureDomain || domain.version.isSilent)
+            continue;
+        auto heard = std::max(*m_activeSince, m_resumed);
+        if (const auto& lastAnswer = m_peers[id].lastAnswer)
+            heard = std::max(heard, *lastAnswer);
+        if (now - heard > m_settings.memberSilence)
+            silent.push_back(id);
+    }
+    for (const auto& id : silent) {
+        m_view.setSilent(id, true, now);
+        m_log.write(LogLevel::Warning, LogLine("domain_silent").add("domain", id).add("relay", m_self.id));
+    }
+}
+
+void RelayAgent::updateOwnReport(TimePoint now)
+{
+    const auto& id = m_self.failureDomain;
+    std::optional<ConfigurationVersion> lowest;
+    std::map<ServiceId, ServiceLoad> sums;
+    for (const auto& [member, info] : m_view.findDomain(id)->members) {
+        const auto it = m_members.find(member);
+        const auto version = it == m_members.end() ? 0 : it->second.version;
+        lowest = std::min(lowest.value_or(version), version);
+        if (it == m_members.end())
+            continue;
+        for (const auto& load : it->second.loads) {
+            auto& sum = sums[load.service];
+            sum.service = load.service;
+            sum.slots += load.slots;
+            sum.inFlight += load.inFlight;
+            sum.queued += load.queued;
+        }
+    }
+    std::vector<ServiceLoad> loads;
+    loads.reserve(sums.size());
+    for (auto& [service, sum] : sums)
+        loads.push_back(std::move(sum));
+    m_view.setReport(id, lowest.value_or(0), std::move(loads), now);
+}
+
+void RelayAgent::pullAll(const SilentRelays& silent, TimePoint now, std::vector<Send>& sends)
+{
+    for (const auto& [id, domain] : m_view.domains()) {
+        auto& peer = m_peers[id];
+        const auto target = chooseTarget(id, peer, silent, now);
+        if (target != peer.target) {
+            peer.target = target;
+            peer.unansweredSince.reset();
+        }
+        const auto it = domain.members.find(target);
+        if (it == domain.members.end())
+            continue;
+        if (!peer.unansweredSince)
+            peer.unansweredSince = now;
+        pull(id, it->second, now, sends);
+    }
+}
+
+InstanceId RelayAgent::chooseTarget(
+    const FailureDomainId& id, Peer& peer, const SilentRelays& silent, TimePoint now) const
+{
+    const bool isOwn = id == m_self.failureDomain;
+    if (!isOwn && peer.unansweredSince && now - *peer.unansweredSince >= m_settings.relaySilence)
+        peer.passedOver[peer.target] = now;
+    std::erase_if(peer.passedOver, [&](const auto& item) { return now - item.second > longestOpen; });
+    auto relays = relaysOf(m_view, id, isOwn ? silent : peer.passedOver);
+    if (relays.empty() && !isOwn) {
+        peer.passedOver.clear();
+        relays = relaysOf(m_view, id);
+    }
+    if (isOwn)
+        std::erase(relays, m_self.id);
+    return relays.empty() ? InstanceId {} : relays[std::min(isOwn ? 0 : m_rank, relays.size() - 1)];
+}
+
+void RelayAgent::pull(const FailureDomainId& id, const MemberInfo& target, TimePoint now, std::vector<Send>& sends)
+{
+    DigestPull message;
+    message.sender = m_self.id;
+    message.region = m_self.region;
+    message.failureDomain = m_self.failureDomain;
+    message.sequence = m_nextSequence++;
+    message.highestVersion = m_highest;
+    message.isStoreReachable = isOwnDomainReachable();
+    if (id != m_self.failureDomain)
+        message.known.push_back(m_view.known(id));
+    m_open.emplace(message.sequence, OpenPull { id, now, m_highest, message.isStoreReachable });
+    sends.push_back({ target.id, target.peerAddress, std::move(message) });
+}
+
+HeartbeatReply RelayAgent::receive(const Heartbeat& message, TimePoint now)
+{
+    if (!m_started)
+        m_started = now;
+    if (message.sender.failureDomain == m_self.failureDomain)
+        recordHeartbeat(message, now);
+    if (m_view.domains().size() == 1) {
+        // No other domain could hold a version or see a writer that this relay does not.
+        m_witnessedVersion = m_highest;
+        if (isOwnDomainReachable())
+            m_reachabilityWitnessed = now;
+    }
+    HeartbeatReply reply;
+    reply.sequence = message.sequence;
+    reply.token = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    reply.evidence = m_evidence.statement(now);
+    reply.highestVersion = m_highest;
+    reply.witnessedVersion = m_witnessedVersion;
+    reply.lowestVersion = m_view.lowestVersion();
+    reply.isReachabilityWitnessed
+        = m_reachabilityWitnessed && now - *m_reachabilityWitnessed < Evidence::s_attestationLimit;
+    reply.viewHash = m_view.hash();
+    if (message.wantsView)
+        reply.domains = viewFor(message, now);
+    return reply;
+}
+
+void RelayAgent::recordHeartbeat(const Heartbeat& message, TimePoint now)
+{
+    auto& member = m_members[message.sender.id];
+    if (member.incarnation == message.sender.incarnation && message.sequence <= member.sequence)
+        return; // Repeated or overtaken.
+    member.incarnation = message.sender.incarnation;
+    member.sequence = message.sequence;
+    member.lastHeard = now;
+    member.isReachable = message.store.isReachable;
+    member.version = message.configurationVersion;
+    member.loads = message.loads;
+    member.asOf.reset();
+    const TimePoint tokenTime { Duration { static_cast<Duration::rep>(message.replyToken) } };
+    if (message.replyToken != 0 && tokenTime >= *m_started && tokenTime <= now) {
+        member.asOf = tokenTime;
+        if (message.evidence.kind == EvidenceKind::Confirmed)
+            m_evidence.learn(message.evidence, tokenTime);
+    }
+    if (message.highestVersion > m_highest) {
+        m_highest = message.highestVersion;
+        m_nextPulls = now; // A writer may be waiting until other domains know its version.
+    }
+    if (m_activeSince)
+        m_view.put(message.sender);
+    updateReachability();
+}
+
+std::vector<DomainSummary> RelayAgent::viewFor(const Heartbeat& message, TimePoint now) const
+{
+    std::map<FailureDomainId, DomainSummary> summaries;
+    if (!message.known.empty()) {
+        std::map<FailureDomainId, KnownView> known;
+        for (const auto& [id, domain] : m_view.domains())
+            known[id] = { id, {} };
+        for (const auto& item : message.known)
+            known[item.failureDomain] = item;
+        for (const auto& [id, item] : known) {
+            if (m_view.known(id).version != item.version)
+                summaries.emplace(id, m_view.changesSince(item));
+        }
+    } else if (auto changes = m_view.changesSince(message.viewHash)) {
+        for (auto& summary : *changes)
+            summaries.emplace(summary.failureDomain, std::move(summary));
+    }
+    if (message.sequence % m_settings.loadsEvery == 0) {
+        for (const auto& [id, domain] : m_view.domains()) {
+            auto report = m_view.report(id, now);
+            auto& summary = summaries.try_emplace(id, report).first->second;
+            summary.lowestVersion = report.lowestVersion;
+            summary.loads = std::move(report.loads);
+            summary.age = report.age;
+        }
+    }
+    std::vector<DomainSummary> result;
+    result.reserve(summaries.size());
+    for (auto& [id, summary] : summaries)
+        result.push_back(std::move(summary));
+    return result;
+}
+
+Digest RelayAgent::receive(const DigestPull& message, const std::string& address, TimePoint now)
+{
+    m_highest = std::max(m_highest, message.highestVersion);
+    const bool isFellow = message.failureDomain == m_self.failureDomain;
+    if (message.isStoreReachable && !isFellow)
+        m_heardReachable[message.sender] = now;
+    else
+        m_heardReachable.erase(message.sender);
+    if (!isFellow && !m_view.findDomain(message.failureDomain)) {
+        MemberInfo info;
+        info.id = message.sender;
+        info.region = message.region;
+        info.failureDomain = message.failureDomain;
+        info.peerAddress = address;
+        m_view.put(info);
+    }
+    const auto known = message.known.empty() ? m_view.known(m_self.failureDomain) : message.known.front();
+    auto summary = m_view.changesSince(KnownView { m_self.failureDomain, known.version });
+    const auto report = m_view.report(m_self.failureDomain, now);
+    summary.region = m_self.region;
+    summary.lowestVersion = report.lowestVersion;
+    summary.loads = report.loads;
+    summary.age = report.age;
+    const auto attestation = isFellow ? ownAttestation() : domainAttestation();
+    summary.store = attestation ? StoreAttestation { attestation->isReachable, now - attestation->asOf }
+                                : StoreAttestation { false, noAge };
+    Digest digest;
+    digest.sequence = message.sequence;
+    digest.evidence = m_evidence.statement(now);
+    digest.highestVersion = m_highest;
+    digest.isPeerReachable = isPeerReachable(now);
+    digest.domains.push_back(std::move(summary));
+    return digest;
+}
+
+void RelayAgent::receive(const Digest& message, TimePoint now)
+{
+    const auto open = m_open.find(message.sequence);
+    if (open == m_open.end())
+        return;
+    const auto pull = open->second;
+    m_open.erase(open);
+    m_evidence.learn(message.evidence, pull.sent);
+    m_highest = std::max(m_highest, message.highestVersion);
+    const bool isFellow = pull.domain == m_self.failureDomain;
+    if (!isFellow) {
+        m_witnessedVersion = std::max(m_witnessedVersion, pull.highest);
+        if (pull.saidReachable)
+            m_reachabilityWitnessed = std::max(m_reachabilityWitnessed.value_or(pull.sent), pull.sent);
+    }
+    auto& peer = m_peers[pull.domain];
+    peer.lastAnswer = now;
+    peer.unansweredSince.reset();
+    if (message.sequence < peer.answered || !m_activeSince)
+        return;
+    peer.answered = message.sequence;
+    for (const auto& summary : message.domains) {
+        if (summary.failureDomain != pull.domain)
+            continue;
+        peer.attestation = Attestation { summary.store.isReachable || message.isPeerReachable,
+            pull.sent - withDrift(summary.store.age) };
+        if (!isFellow)
+            m_view.apply(summary, now);
+    }
+}
+
+bool RelayAgent::isOwnDomainReachable() const
+{
+    const auto* own = m_view.findDomain(m_self.failureDomain);
+    return own && std::any_of(own->members.begin(), own->members.end(), [&](const auto& item) {
+        const auto it = m_members.find(item.first);
+        return it != m_members.end() && it->second.isReachable;
+    });
+}
+
+void RelayAgent::updateReachability()
+{
+    // Other domains wait for this news: the end of reachability starts storeUnavailable, its return ends it.
+    if (const bool isReachable = isOwnDomainReachable(); isReachable != m_wasReachable) {
+        m_wasReachable = isReachable;
+        m_nextPulls = TimePoint {};
+    }
+}
+
+bool RelayAgent::isPeerReachable(TimePoint now) const
+{
+    return std::any_of(m_heardReachable.begin(), m_heardReachable.end(),
+        [&](const auto& item) { return now - item.second < Evidence::s_attestationLimit; });
+}
+
+std::optional<RelayAgent::Attestation> RelayAgent::ownAttestation() const
+{
+    if (!m_activeSince)
+        return std::nullopt;
+    const auto* own = m_view.findDomain(m_self.failureDomain);
+    std::optional<Attestation> result;
+    for (const auto& [id, info] : own->members) {
+        const auto it = m_members.find(id);
+        if (it == m_members.end() || !it->second.asOf)
+            return std::nullopt;
+        if (!result)
+            result = Attestation { false, *it->second.asOf };
+        result->isReachable = result->isReachable || it->second.isReachable;
+        result->asOf = std::min(result->asOf, *it->second.asOf);
+    }
+    return result;
+}
+
+std::optional<RelayAgent::Attestation> RelayAgent::domainAttestation() const
+{
+    auto result = ownAttestation();
+    const auto fellow = m_peers.find(m_self.failureDomain);
+    if (!result || fellow == m_peers.end() || fellow->second.target.isEmpty())
+        return result;
+    // The fellow relay may know members that this one cannot hear.
+    const auto& other = fellow->second.attestation;
+    if (!other)
+        return std::nullopt;
+    return Attestation { result->isReachable || other->isReachable, std::min(result->asOf, other->asOf) };
+}
+
+std::optional<TimePoint> RelayAgent::storeUnavailableAsOf(TimePoint now) const
+{
+    if (!m_activeSince || !m_view.hasPlatformList() || isPeerReachable(now))
+        return std::nullopt;
+    std::optional<TimePoint> oldest;
+    const auto include = [&](const std::optional<Attestation>& attestation) {
+        if (!attestation || attestation->isReachable || now - attestation->asOf >= Evidence::s_attestationLimit)
+            return false;
+        oldest = std::min(oldest.value_or(attestation->asOf), attestation->asOf);
+        return true;
+    };
+    for (const auto& [id, domain] : m_view.domains()) {
+        const auto peer = m_peers.find(id);
+        if (id == m_self.failureDomain ? !include(domainAttestation())
+                                       : peer == m_peers.end() || !include(peer->second.attestation))
+            return std::nullopt;
+    }
+    return oldest;
+}
+
+void RelayAgent::concludeStoreState(TimePoint now)
+{
+    const auto asOf = storeUnavailableAsOf(now);
+    if (asOf)
+        m_evidence.storeUnavailable(m_highest, *asOf);
+    if (asOf.has_value() == m_isStoreUnavailable)
+        return;
+    m_isStoreUnavailable = asOf.has_value();
+    m_log.write(
+        LogLevel::Warning, LogLine("store_unavailable").add("relay", m_self.id).add("concluded", m_isStoreUnavailable));
+}
+
+}
--- a/libs/membership/src/StoreContact.cpp
+++ b/libs/membership/src/StoreContact.cpp
@@ -8,7 +8,7 @@
 
 bool StoreContact::isReachable(TimePoint now) const noexcept
 {
-    return now < m_heldUntil || (m_lastSuccess && now - *m_lastSuccess < reachableFor);
+    return now < m_heldUntil || (m_lastSuccess && now - *m_lastSuccess < s_reachableFor);
 }
 
 }
