peridot: follow the renamed freshness limit

Cause: static members carry the prefix s_, so Evidence::freshFor was renamed. Change: ControlPlane names Evidence::s_freshFor. Measured: nothing; rename only. Conclusion: ControlPlane builds against the membership library.

--- a/peridot/src/ControlPlane.cpp
+++ b/peridot/src/ControlPlane.cpp
@@ -62,7 +62,7 @@
 
 bool ServingView::isEvidenceFresh(TimePoint now) const noexcept
 {
-    return evidenceTime && now - *evidenceTime <= Evidence::freshFor;
+    return evidenceTime && now - *evidenceTime <= Evidence::s_freshFor;
 }
 
 ControlPlane::ControlPlane(const NodeSettings& settings, BudgetHolders& budgets, DecisionHistory& history,
