--- a/libs/routing/src/BackendPool.cpp
+++ b/libs/routing/src/BackendPool.cpp
@@ -132,7 +132,7 @@
         const auto slots = static_cast<double>(server->slots());
         const auto share = server->slowStartShare(now, m_options);
         const auto load = server->estimatedLoad(now, meanLoad, m_options);
-        if (!isWithinShare && load + cost > slots * share)
+        if (!isWithinShare && load + cost > slots * share * (1 + m_options.overcommit))
             continue;
         // Where reports are not trusted, latency tells the loaded servers.
         const auto slowness = (1 - server->trust()) * std::max(0.0, server->relativeLatency(m_latency) - 1);
