--- a/daemons/peridotd/src/ActiveRequest.h
+++ b/daemons/peridotd/src/ActiveRequest.h
@@ -14,8 +14,11 @@
     virtual void dispatch(const DispatchRequest&) = 0;
     virtual void refuse(const Refusal&) = 0;
     virtual void replay(const RecordedResponse&) = 0;
-    /** The deadline has passed. Returns false if the request was waiting for a decision. */
-    virtual bool expire() = 0;
+    /**
+     * The deadline has passed: ends the exchange with a backend server. A request that waits for a decision of the node
+     * is refused only if @p isLast. Returns false if it still waits.
+     */
+    virtual bool expire(bool isLast) = 0;
 };
 
 }
--- a/daemons/peridotd/src/CallerEndpoint.cpp
+++ b/daemons/peridotd/src/CallerListener.cpp
@@ -1,4 +1,4 @@
-#include "CallerEndpoint.h"
+#include "CallerListener.h"
 
 #include "HttpReplies.h"
 
@@ -35,7 +35,7 @@
         return "";
     }
 
-    std::string lookupBody(const std::string& service, const LookupAnswer& answer)
+    std::string lookupBody(const std::string& service, const LookupResponse& answer)
     {
         auto instances = nlohmann::ordered_json::array();
         for (const auto& instance : answer.instances) {
@@ -117,7 +117,7 @@
 
 }
 
-CallerEndpoint::CallerEndpoint(
+CallerListener::CallerListener(
     Identity identity, const ForwardingContext& context, std::function<void(std::string&)> writeMetrics)
     : m_identity(std::move(identity))
     , m_context(context)
@@ -127,12 +127,12 @@
 {
 }
 
-RequestId CallerEndpoint::nextRequestId()
+RequestId CallerListener::nextRequestId()
 {
     return RequestId { m_identity.requestIdPrefix + std::to_string(++m_requestCount) };
 }
 
-void CallerEndpoint::handle(const http::http_request& request)
+void CallerListener::handle(const http::http_request& request)
 {
     const auto id = nextRequestId();
     if (const auto refusal = checkFraming(request, m_context.limits)) {
@@ -157,7 +157,7 @@
         send(request, makeRefusal({ 404, "not_found", "no such resource", RunState::NotRun, {} }, id));
 }
 
-void CallerEndpoint::handleLookup(const http::http_request& request, const RequestId& id)
+void CallerListener::handleLookup(const http::http_request& request, const RequestId& id)
 {
     const std::string query = request.request_uri().query();
     const std::string service = queryParameter(query, "service");
@@ -174,7 +174,7 @@
         send(request, makeRefusal(*refusal, id));
         return;
     }
-    const auto& answer = std::get<LookupAnswer>(result);
+    const auto& answer = std::get<LookupResponse>(result);
     m_context.statistics.countLookup("answered");
     auto response = makeJsonResponse(200, id, lookupBody(service, answer));
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(answer.timeToLive).count();
@@ -182,7 +182,7 @@
     send(request, response);
 }
 
-void CallerEndpoint::handleHealth(const http::http_request& request, const RequestId& id)
+void CallerListener::handleHealth(const http::http_request& request, const RequestId& id)
 {
     const auto state = m_context.driver.state();
     const nlohmann::ordered_json body {
@@ -194,7 +194,7 @@
     send(request, makeJsonResponse(state == InstanceState::Starting ? 503 : 200, id, body.dump()));
 }
 
-void CallerEndpoint::handleMetrics(const http::http_request& request, const RequestId& id)
+void CallerListener::handleMetrics(const http::http_request& request, const RequestId& id)
 {
     std::string page;
     m_context.statistics.write(page);
@@ -206,7 +206,7 @@
     send(request, response);
 }
 
-void CallerEndpoint::handleService(const http::http_request& request, const RequestId& id)
+void CallerListener::handleService(const http::http_request& request, const RequestId& id)
 {
     const auto& headers = request.headers();
     const std::string path = request.request_uri().path();
--- a/daemons/peridotd/src/CallerEndpoint.h
+++ b/daemons/peridotd/src/CallerListener.h
@@ -11,7 +11,7 @@
 
 namespace peridot {
 
-class CallerEndpoint {
+class CallerListener {
 public:
     struct Identity {
         std::string address;
@@ -22,7 +22,7 @@
     };
 
     /** @p writeMetrics appends the metrics of the rest of the daemon. */
-    CallerEndpoint(Identity, const ForwardingContext&, std::function<void(std::string&)> writeMetrics);
+    CallerListener(Identity, const ForwardingContext&, std::function<void(std::string&)> writeMetrics);
 
     Result<void> open() { return m_listener.open(); }
     void close() { m_listener.close(); }
--- a/daemons/peridotd/src/Daemon.cpp
+++ b/daemons/peridotd/src/Daemon.cpp
@@ -1,8 +1,8 @@
 #include "Daemon.h"
 
 #include "BackendProbe.h"
-#include "CallerEndpoint.h"
-#include "OperatorEndpoint.h"
+#include "CallerListener.h"
+#include "OperatorListener.h"
 
 #include "store/HttpStoreClient.h"
 #include "wire/PeerTransport.h"
@@ -105,8 +105,8 @@
     BackendProbe m_probe;
     std::unique_ptr<HttpStoreClient> m_store;
     PeerTransport m_transport;
-    CallerEndpoint m_caller;
-    OperatorEndpoint m_operator;
+    CallerListener m_caller;
+    OperatorListener m_operator;
 };
 
 Daemon::Daemon(DaemonSettings settings, EventLog& log)
--- a/daemons/peridotd/src/ForwardedRequest.cpp
+++ b/daemons/peridotd/src/ForwardedRequest.cpp
@@ -121,6 +121,7 @@
         const std::lock_guard lock(m_mutex);
         attempt = m_attempt;
         hasBegun = m_stage != Stage::ReadingBody;
+        m_isCallerGone = true; // Nobody waits for the outcome of the attempt any more.
         if (m_bodyPipe)
             m_bodyPipe->close(std::ios_base::out, std::make_exception_ptr(std::runtime_error("body too long")));
     }
@@ -196,19 +197,32 @@
     logFinished(recorded.status, "replayed", recorded.body.size());
 }
 
-bool ForwardedRequest::expire()
+bool ForwardedRequest::expire(bool isLast)
 {
     AttemptPointer attempt;
+    RunState run = RunState::NotRun;
     {
         const std::lock_guard lock(m_mutex);
         if (m_stage == Stage::Answered)
             return true;
-        if (m_stage == Stage::ReadingBody || m_stage == Stage::Waiting)
+        if (m_stage == Stage::Dispatched || m_stage == Stage::Streaming) {
+            m_isExpired = true;
+            attempt = m_attempt;
+        } else if (!isLast) {
             return false;
-        m_isExpired = true;
-        attempt = m_attempt;
+        } else {
+            // Set under the lock: a dispatch that comes now is not sent, so that "not run" stays true.
+            m_stage = Stage::Answered;
+            run = m_mayHaveRun ? RunState::Unknown : RunState::NotRun;
+        }
     }
-    attempt->cancellation.cancel();
+    if (attempt) {
+        attempt->cancellation.cancel();
+        return true;
+    }
+    const Refusal refusal { 504, "deadline_exceeded", "the request was not decided in time", run, {} };
+    send(m_request, makeRefusal(refusal, m_head.id));
+    logFinished(refusal.status, refusal.code, 0);
     return true;
 }
 
@@ -224,6 +238,8 @@
         isWaiting = m_stage == Stage::Waiting;
         if (m_stage == Stage::Dispatched || m_stage == Stage::Streaming)
             attempt = m_attempt;
+        else
+            m_stage = Stage::Answered;
     }
     if (attempt) {
         attempt->cancellation.cancel();
@@ -231,7 +247,9 @@
     }
     if (isWaiting)
         m_context.driver.abandoned(m_head.id);
-    refuse({ 400, "body_incomplete", "the body broke off", RunState::NotRun, {} });
+    const Refusal refusal { 400, "body_incomplete", "the body broke off", RunState::NotRun, {} };
+    sendLastRefusal(m_request, refusal, m_head.id);
+    logFinished(refusal.status, refusal.code, 0);
 }
 
 void ForwardedRequest::dispatch(const DispatchRequest& dispatch)
@@ -253,11 +271,10 @@
         sendAttempt(attempt, dispatch);
         return;
     }
-    // A dispatch follows another one only if that one did not run the request. A long body is gone with the first
-    // attempt, though.
+    // A long body is gone with the first attempt.
     refuse({ 503, "not_repeatable", "a backend server refused the request and its body is too long to keep",
-        RunState::NotRun, std::chrono::seconds { 1 } });
-    m_context.driver.finished(m_head.id, BackendOutcome { BackendOutcomeKind::Cancelled, {}, {}, 0, {} });
+        m_mayHaveRun ? RunState::Unknown : RunState::NotRun, std::chrono::seconds { 1 } });
+    m_context.driver.finished(m_head.id, DispatchOutcome { DispatchOutcomeKind::Cancelled, {}, {}, 0, false, {} });
 }
 
 http::http_request ForwardedRequest::backendRequest(Duration timeout)
@@ -298,36 +315,36 @@
         // Building the request failed; nothing was sent.
         m_context.log.write(
             LogLevel::Warning, LogLine("request_not_built").add("request", m_head.id).add("message", error.what()));
-        failed(attempt, BackendOutcomeKind::NotSent);
+        failed(attempt, DispatchOutcomeKind::NotSent);
     }
 }
 
-BackendOutcomeKind ForwardedRequest::outcomeOf(const std::exception_ptr& error)
+DispatchOutcomeKind ForwardedRequest::outcomeOf(const std::exception_ptr& error)
 {
     {
         const std::lock_guard lock(m_mutex);
         if (m_isExpired)
-            return BackendOutcomeKind::TimedOut;
+            return DispatchOutcomeKind::TimedOut;
         if (m_isCallerGone)
-            return BackendOutcomeKind::Cancelled;
+            return DispatchOutcomeKind::Cancelled;
     }
     try {
         std::rethrow_exception(error);
     } catch (const http::http_exception& exception) {
         // cpprestsdk reports a refused connection under this code.
         if (exception.error_code() == std::errc::host_unreachable)
-            return BackendOutcomeKind::NotSent;
-        return exception.error_code() == std::errc::timed_out ? BackendOutcomeKind::TimedOut
-                                                              : BackendOutcomeKind::Failed;
+            return DispatchOutcomeKind::NotSent;
+        return exception.error_code() == std::errc::timed_out ? DispatchOutcomeKind::TimedOut
+                                                              : DispatchOutcomeKind::Failed;
     } catch (...) {
-        return BackendOutcomeKind::Failed;
+        return DispatchOutcomeKind::Failed;
     }
 }
 
 void ForwardedRequest::headArrived(const AttemptPointer& attempt, const http::http_response& response)
 {
     if (isShed(response)) {
-        failed(attempt, BackendOutcomeKind::Shed, retryAfter(response.headers()));
+        failed(attempt, DispatchOutcomeKind::Shed, retryAfter(response.headers()));
         return;
     }
     attempt->response = response;
@@ -337,7 +354,7 @@
     } else if (!attempt->expectedBytes && !isChunked(response.headers())) {
         // A body that ends with the connection cannot be told from one that broke off.
         attempt->cancellation.cancel();
-        failed(attempt, BackendOutcomeKind::Failed);
+        failed(attempt, DispatchOutcomeKind::Failed);
         return;
     }
     if (attempt->expectedBytes == 0U) {
@@ -405,7 +422,7 @@
         return;
     }
     if (attempt->expectedBytes && *attempt->expectedBytes != attempt->receivedBytes) {
-        failed(attempt, BackendOutcomeKind::Failed);
+        failed(attempt, DispatchOutcomeKind::Failed);
         return;
     }
     completed(attempt);
@@ -414,20 +431,22 @@
 void ForwardedRequest::completed(const AttemptPointer& attempt)
 {
     bool isStreamed = false;
+    bool isAnswered = false;
     {
         const std::lock_guard lock(m_mutex);
         if (attempt->isOver)
             return;
         attempt->isOver = true;
         isStreamed = m_stage == Stage::Streaming;
+        isAnswered = m_stage == Stage::Answered;
         m_stage = Stage::Answered;
     }
     const auto status = attempt->response.status_code();
-    BackendOutcome outcome { BackendOutcomeKind::Completed, steadyNow() - attempt->start, {}, attempt->receivedBytes,
-        { status, attempt->response.headers().content_type(), {} } };
+    DispatchOutcome outcome { DispatchOutcomeKind::Completed, steadyNow() - attempt->start, {}, attempt->receivedBytes,
+        isStreamed, { status, attempt->response.headers().content_type(), {} } };
     if (isStreamed) {
         attempt->pipe->close(std::ios_base::out);
-    } else {
+    } else if (!isAnswered) {
         outcome.response.body.assign(attempt->buffered.begin(), attempt->buffered.end());
         auto response = callerResponse(*attempt);
         if (!attempt->buffered.empty())
@@ -438,7 +457,7 @@
     logFinished(status, "completed", attempt->receivedBytes);
 }
 
-void ForwardedRequest::failed(const AttemptPointer& attempt, BackendOutcomeKind kind, Duration retryAfter)
+void ForwardedRequest::failed(const AttemptPointer& attempt, DispatchOutcomeKind kind, Duration retryAfter)
 {
     bool isStreamed = false;
     {
@@ -447,6 +466,7 @@
             return;
         attempt->isOver = true;
         isStreamed = m_stage == Stage::Streaming;
+        m_mayHaveRun |= kind != DispatchOutcomeKind::Shed && kind != DispatchOutcomeKind::NotSent;
         if (m_stage == Stage::Dispatched)
             m_stage = Stage::Waiting;
         else if (isStreamed)
@@ -457,8 +477,8 @@
         attempt->pipe->close(std::ios_base::out, std::make_exception_ptr(std::runtime_error("the response broke off")));
         logFinished(attempt->response.status_code(), std::string(enumName(kind)), attempt->receivedBytes);
     }
-    m_context.driver.finished(
-        m_head.id, BackendOutcome { kind, steadyNow() - attempt->start, retryAfter, attempt->receivedBytes, {} });
+    m_context.driver.finished(m_head.id,
+        DispatchOutcome { kind, steadyNow() - attempt->start, retryAfter, attempt->receivedBytes, isStreamed, {} });
 }
 
 void ForwardedRequest::logFinished(std::uint16_t status, const std::string& outcome, std::uint64_t responseBytes)
--- a/daemons/peridotd/src/ForwardedRequest.h
+++ b/daemons/peridotd/src/ForwardedRequest.h
@@ -44,7 +44,7 @@
     void dispatch(const DispatchRequest&) override;
     void refuse(const Refusal&) override;
     void replay(const RecordedResponse&) override;
-    bool expire() override;
+    bool expire(bool isLast) override;
 
 private:
     using Bytes = std::vector<std::uint8_t>;
@@ -85,8 +85,8 @@
     void responseEnded(const AttemptPointer&, const std::exception_ptr&);
     void startStreaming(const AttemptPointer&);
     void completed(const AttemptPointer&);
-    void failed(const AttemptPointer&, BackendOutcomeKind, Duration retryAfter = Duration { 0 });
-    BackendOutcomeKind outcomeOf(const std::exception_ptr&);
+    void failed(const AttemptPointer&, DispatchOutcomeKind, Duration retryAfter = Duration { 0 });
+    DispatchOutcomeKind outcomeOf(const std::exception_ptr&);
     web::http::http_response callerResponse(const Attempt&) const;
     void callerHasGone();
 
@@ -110,6 +110,7 @@
     bool m_isExpired = false;
     bool m_isCallerGone = false;
     bool m_isBodyTooLong = false;
+    bool m_mayHaveRun = false; // An earlier attempt ended without certainty.
 };
 
 }
--- a/daemons/peridotd/src/NodeDriver.cpp
+++ b/daemons/peridotd/src/NodeDriver.cpp
@@ -20,35 +20,11 @@
     constexpr milliseconds decisionGrace { 200 };
     constexpr std::chrono::seconds operationTimeout { 30 };
 
-    Refusal refusalFor(BackendOutcomeKind kind)
+    /** True if the node has no further action for the request. */
+    bool isOver(const DispatchOutcome& outcome)
     {
-        switch (kind) {
-        case BackendOutcomeKind::Shed:
-            return { 503, "backend_shed", "the backend server refused the request before running it", RunState::NotRun,
-                std::chrono::seconds { 1 } };
-        case BackendOutcomeKind::NotSent:
-            return { 503, "backend_unreachable", "the backend server could not be reached", RunState::NotRun,
-                std::chrono::seconds { 1 } };
-        case BackendOutcomeKind::TimedOut:
-            return { 504, "deadline_exceeded", "no complete response arrived in time", RunState::Unknown, {} };
-        case BackendOutcomeKind::Completed:
-        case BackendOutcomeKind::Failed:
-        case BackendOutcomeKind::Cancelled:
-            break;
-        }
-        return { 502, "backend_failed", "the exchange with the backend server broke off", RunState::Unknown, {} };
-    }
-
-    /** Id of the request that an action decides, if it decides one. */
-    const RequestId* decidedRequest(const Action& action)
-    {
-        if (const auto* dispatch = std::get_if<DispatchRequest>(&action))
-            return &dispatch->request;
-        if (const auto* refuse = std::get_if<RefuseRequest>(&action))
-            return &refuse->request;
-        if (const auto* replay = std::get_if<ReplayResponse>(&action))
-            return &replay->request;
-        return nullptr;
+        return outcome.kind == DispatchOutcomeKind::Completed || outcome.kind == DispatchOutcomeKind::Cancelled
+            || outcome.hasResponseStarted;
     }
 
 }
@@ -170,18 +146,11 @@
     perform(guarded([&] { return m_node.begin(head, now); }));
 }
 
-void NodeDriver::finished(const RequestId& id, const BackendOutcome& outcome)
+void NodeDriver::finished(const RequestId& id, const DispatchOutcome& outcome)
 {
-    const auto actions = guarded([&] { return m_node.finished(id, outcome, steadyNow()); });
-    const bool isDecided = std::any_of(actions.begin(), actions.end(), [&](const Action& action) {
-        const auto* decided = decidedRequest(action);
-        return decided && *decided == id;
-    });
-    if (!isDecided) {
-        if (const auto request = take(id); request && outcome.kind != BackendOutcomeKind::Completed)
-            request->refuse(refusalFor(outcome.kind));
-    }
-    perform(actions);
+    if (isOver(outcome))
+        take(id);
+    perform(guarded([&] { return m_node.finished(id, outcome, steadyNow()); }));
 }
 
 void NodeDriver::abandoned(const RequestId& id)
@@ -240,7 +209,7 @@
         return;
     }
     // The request was answered in the meantime. The node must still learn that its dispatch is over.
-    finished(dispatch.request, BackendOutcome { BackendOutcomeKind::Cancelled, {}, {}, 0, {} });
+    finished(dispatch.request, DispatchOutcome { DispatchOutcomeKind::Cancelled, {}, {}, 0, false, {} });
 }
 
 void NodeDriver::handle(const RefuseRequest& refuse)
@@ -286,22 +255,17 @@
             due.push_back(std::move(it->second));
         m_deadlines.erase(m_deadlines.begin(), end);
     }
-    for (const auto& deadline : due)
-        expire(deadline, now);
-}
-
-void NodeDriver::expire(const Deadline& deadline, TimePoint now)
-{
-    const auto request = find(deadline.request);
-    if (!request || request->expire())
-        return;
-    if (!deadline.isLast) {
-        const std::lock_guard lock(m_deadlineMutex);
-        m_deadlines.emplace(now + decisionGrace, Deadline { deadline.request, true });
-        return;
+    for (const auto& [id, isLast] : due) {
+        const auto request = find(id);
+        if (!request)
+            continue;
+        if (!request->expire(isLast)) {
+            const std::lock_guard lock(m_deadlineMutex);
+            m_deadlines.emplace(now + decisionGrace, Deadline { id, true });
+        } else if (isLast) {
+            abandoned(id);
+        }
     }
-    abandoned(deadline.request);
-    request->refuse({ 504, "deadline_exceeded", "the request was not decided in time", RunState::NotRun, {} });
 }
 
 void NodeDriver::expireOperations(TimePoint now)
--- a/daemons/peridotd/src/NodeDriver.h
+++ b/daemons/peridotd/src/NodeDriver.h
@@ -53,8 +53,8 @@
 
     /** Takes a request; it stays registered until finished(), refuse() or replay(). */
     void begin(const RequestHead&, std::shared_ptr<ActiveRequest>);
-    /** Reports the outcome of a dispatch. A failed request that the node does not dispatch again is refused. */
-    void finished(const RequestId&, const BackendOutcome&);
+    /** Reports the outcome of a dispatch. After a failure the node dispatches again or refuses, possibly later. */
+    void finished(const RequestId&, const DispatchOutcome&);
     /** The caller went away before a dispatch. */
     void abandoned(const RequestId&);
     std::size_t openRequests() const noexcept { return m_openRequests.load(); }
@@ -79,7 +79,7 @@
     };
     struct Deadline {
         RequestId request;
-        bool isLast = false; // The node had its time to refuse; the driver does it now.
+        bool isLast = false; // The node had its time to refuse.
     };
 
     template <typename Call> auto guarded(const Call&) const -> decltype(std::declval<Call>()());
@@ -92,7 +92,6 @@
     void handle(const AnswerOperator&);
     void runControlThread();
     void expireRequests(TimePoint now);
-    void expire(const Deadline&, TimePoint now);
     void expireOperations(TimePoint now);
     Shard& shardOf(const RequestId&) const;
     std::shared_ptr<ActiveRequest> find(const RequestId&) const;
--- a/daemons/peridotd/src/OperatorEndpoint.cpp
+++ b/daemons/peridotd/src/OperatorListener.cpp
@@ -1,4 +1,4 @@
-#include "OperatorEndpoint.h"
+#include "OperatorListener.h"
 
 #include "BodyReader.h"
 #include "HttpReplies.h"
@@ -37,7 +37,7 @@
 
 }
 
-OperatorEndpoint::OperatorEndpoint(Identity identity, NodeDriver& driver, EventLog& log)
+OperatorListener::OperatorListener(Identity identity, NodeDriver& driver, EventLog& log)
     : m_identity(std::move(identity))
     , m_driver(driver)
     , m_log(log)
@@ -46,7 +46,7 @@
 {
 }
 
-bool OperatorEndpoint::hasOperatorKey(const http::http_request& request) const
+bool OperatorListener::hasOperatorKey(const http::http_request& request) const
 {
     const auto it = request.headers().find("Authorization");
     const std::string presented = it == request.headers().end() ? "" : it->second;
@@ -54,7 +54,7 @@
     return sodium_memcmp(digestOf(presented).data(), expected.data(), expected.size()) == 0;
 }
 
-void OperatorEndpoint::handle(const http::http_request& request)
+void OperatorListener::handle(const http::http_request& request)
 {
     const RequestId id { m_identity.requestIdPrefix + "o" + std::to_string(++m_requestCount) };
     const std::string path = request.request_uri().path();
@@ -90,7 +90,7 @@
         });
 }
 
-void OperatorEndpoint::operate(const http::http_request& request, const RequestId& id, const std::string& body)
+void OperatorListener::operate(const http::http_request& request, const RequestId& id, const std::string& body)
 {
     OperatorRequest operation;
     operation.id = id.value();
--- a/daemons/peridotd/src/OperatorEndpoint.h
+++ b/daemons/peridotd/src/OperatorListener.h
@@ -10,7 +10,7 @@
 
 namespace peridot {
 
-class OperatorEndpoint {
+class OperatorListener {
 public:
     struct Identity {
         std::string address;
@@ -19,7 +19,7 @@
         std::string operatorKey;
     };
 
-    OperatorEndpoint(Identity, NodeDriver&, EventLog&);
+    OperatorListener(Identity, NodeDriver&, EventLog&);
 
     Result<void> open() { return m_listener.open(); }
     void close() { m_listener.close(); }
--- a/daemons/peridotd/src/Settings.cpp
+++ b/daemons/peridotd/src/Settings.cpp
@@ -130,6 +130,12 @@
             = reader.milliseconds("region_delay_ms", milliseconds { 0 }, seconds { 1 }, milliseconds { 55 });
         node.linkMegabitsPerSecond
             = static_cast<std::uint64_t>(reader.integer("link_megabits_per_second", 1, 10'000'000, 4000));
+        reader.objects("client_blocks", false, [&](JsonReader& item) {
+            ClientBlockRegions block { nonEmpty(item, "block"), {} };
+            for (const auto& region : item.strings("regions", true))
+                block.regions.emplace_back(region);
+            node.clientBlocks.push_back(std::move(block));
+        });
         return node;
     }
 
--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -152,11 +152,11 @@
 
     void write(const ViewVersion& from, proto::ViewVersion& to)
     {
-        to.set_epoch(from.epoch);
-        to.set_number(from.number);
+        to.set_content_hash(from.contentHash);
+        to.set_is_silent(from.isSilent);
     }
 
-    ViewVersion read(const proto::ViewVersion& from) { return { from.epoch(), from.number() }; }
+    ViewVersion read(const proto::ViewVersion& from) { return { from.content_hash(), from.is_silent() }; }
 
     void write(const KnownView& from, proto::KnownView& to)
     {
@@ -276,9 +276,13 @@
             auto& to = *out.mutable_heartbeat();
             write(from.sender, &envelope, *to.mutable_sender());
             to.set_sequence(from.sequence);
+            to.set_reply_token(from.replyToken);
             to.set_configuration_version(from.configurationVersion);
+            to.set_highest_version(from.highestVersion);
             write(from.store, *to.mutable_store());
             write(from.evidence, *to.mutable_evidence());
+            to.set_wants_view(from.wantsView);
+            to.set_view_hash(from.viewHash);
             writeAll(from.known, to.mutable_known());
             writeAll(from.loads, to.mutable_loads());
         }
@@ -287,7 +291,13 @@
         {
             auto& to = *out.mutable_heartbeat_reply();
             to.set_sequence(from.sequence);
+            to.set_token(from.token);
             write(from.evidence, *to.mutable_evidence());
+            to.set_highest_version(from.highestVersion);
+            to.set_witnessed_version(from.witnessedVersion);
+            to.set_lowest_version(from.lowestVersion);
+            to.set_is_reachability_witnessed(from.isReachabilityWitnessed);
+            to.set_view_hash(from.viewHash);
             writeAll(from.domains, to.mutable_domains());
         }
 
@@ -296,7 +306,11 @@
             auto& to = *out.mutable_digest_pull();
             if (from.sender != envelope.sender)
                 to.set_sender(from.sender.value());
+            to.set_region(from.region.value());
+            to.set_failure_domain(from.failureDomain.value());
             to.set_sequence(from.sequence);
+            to.set_highest_version(from.highestVersion);
+            to.set_is_store_reachable(from.isStoreReachable);
             writeAll(from.known, to.mutable_known());
         }
 
@@ -305,6 +319,8 @@
             auto& to = *out.mutable_digest();
             to.set_sequence(from.sequence);
             write(from.evidence, *to.mutable_evidence());
+            to.set_highest_version(from.highestVersion);
+            to.set_is_peer_reachable(from.isPeerReachable);
             writeAll(from.domains, to.mutable_domains());
         }
 
@@ -350,19 +366,53 @@
         Heartbeat to;
         to.sender = read(from.sender(), &envelope);
         to.sequence = from.sequence();
+        to.replyToken = from.reply_token();
         to.configurationVersion = from.configuration_version();
+        to.highestVersion = from.highest_version();
         to.store = read(from.store());
         to.evidence = read(from.evidence());
+        to.wantsView = from.wants_view();
+        to.viewHash = from.view_hash();
         to.known = readAll<KnownView>(from.known());
         to.loads = readAll<ServiceLoad>(from.loads());
         return to;
     }
 
+    HeartbeatReply read(const proto::HeartbeatReply& from)
+    {
+        HeartbeatReply to;
+        to.sequence = from.sequence();
+        to.token = from.token();
+        to.evidence = read(from.evidence());
+        to.highestVersion = from.highest_version();
+        to.witnessedVersion = from.witnessed_version();
+        to.lowestVersion = from.lowest_version();
+        to.isReachabilityWitnessed = from.is_reachability_witnessed();
+        to.viewHash = from.view_hash();
+        to.domains = readAll<DomainSummary>(from.domains());
+        return to;
+    }
+
+    Digest read(const proto::Digest& from)
+    {
+        Digest to;
+        to.sequence = from.sequence();
+        to.evidence = read(from.evidence());
+        to.highestVersion = from.highest_version();
+        to.isPeerReachable = from.is_peer_reachable();
+        to.domains = readAll<DomainSummary>(from.domains());
+        return to;
+    }
+
     DigestPull read(const proto::DigestPull& from, const Envelope& envelope)
     {
         DigestPull to;
         to.sender = from.sender().empty() ? envelope.sender : InstanceId { name(from.sender()) };
+        to.region = RegionId { nonEmptyName(from.region()) };
+        to.failureDomain = FailureDomainId { nonEmptyName(from.failure_domain()) };
         to.sequence = from.sequence();
+        to.highestVersion = from.highest_version();
+        to.isStoreReachable = from.is_store_reachable();
         to.known = readAll<KnownView>(from.known());
         return to;
     }
@@ -382,16 +432,12 @@
         switch (from.body_case()) {
         case proto::Envelope::kHeartbeat:
             return read(from.heartbeat(), envelope);
-        case proto::Envelope::kHeartbeatReply: {
-            const auto& body = from.heartbeat_reply();
-            return HeartbeatReply { body.sequence(), read(body.evidence()), readAll<DomainSummary>(body.domains()) };
-        }
+        case proto::Envelope::kHeartbeatReply:
+            return read(from.heartbeat_reply());
         case proto::Envelope::kDigestPull:
             return read(from.digest_pull(), envelope);
-        case proto::Envelope::kDigest: {
-            const auto& body = from.digest();
-            return Digest { body.sequence(), read(body.evidence()), readAll<DomainSummary>(body.domains()) };
-        }
+        case proto::Envelope::kDigest:
+            return read(from.digest());
         case proto::Envelope::kBudgetDemand:
             return read(from.budget_demand(), envelope);
         case proto::Envelope::kBudgetGrant: {
--- a/libs/wire/tests/CodecTest.cpp
+++ b/libs/wire/tests/CodecTest.cpp
@@ -23,7 +23,7 @@
         DomainSummary value;
         value.failureDomain = FailureDomainId { "jadran-a" };
         value.region = RegionId { "jadran" };
-        value.version = { 3, 9 };
+        value.version = { 39, true };
         value.isFull = true;
         value.members = { member("one"), member("two") };
         value.removed = { InstanceId { "three" } };
@@ -42,13 +42,14 @@
     std::vector<Envelope> oneOfEach()
     {
         const EvidenceStatement evidence { EvidenceKind::StoreUnavailable, 4, milliseconds { 900 } };
-        const std::vector<KnownView> known { { FailureDomainId { "jadran-b" }, { 1, 2 } } };
+        const std::vector<KnownView> known { { FailureDomainId { "jadran-b" }, { 12, false } } };
         return {
-            envelope(Heartbeat { member("one"), 5, 12, { true, milliseconds { 1 } }, evidence, known,
+            envelope(Heartbeat { member("one"), 5, 6, 12, 13, { true, milliseconds { 1 } }, evidence, true, 99, known,
                 { { ServiceId { "salonik" }, 8, 3, 1 } } }),
-            envelope(HeartbeatReply { 5, evidence, { summary() } }),
-            envelope(DigestPull { InstanceId { "one" }, 6, known }),
-            envelope(Digest { 6, evidence, { summary() } }),
+            envelope(HeartbeatReply { 5, 6, evidence, 13, 12, 11, true, 98, { summary() } }),
+            envelope(DigestPull {
+                InstanceId { "one" }, RegionId { "jadran" }, FailureDomainId { "jadran-a" }, 6, 14, true, known }),
+            envelope(Digest { 6, evidence, 14, true, { summary() } }),
             envelope(BudgetDemand {
                 InstanceId { "one" }, 77, 8, { { { BudgetKind::Link, "jadran>zagorje" }, 1, 2, 3, 4, 5 } } }),
             envelope(BudgetGrant { RegionId { "jadran" }, 4, 77, 8,
@@ -89,9 +90,20 @@
         const auto heartbeat = std::get<Heartbeat>(decode(encode(all[0]))->message);
         CPPUNIT_ASSERT(heartbeat.sender == member("one"));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 12 }, heartbeat.configurationVersion);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 13 }, heartbeat.highestVersion);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 6 }, heartbeat.replyToken);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 99 }, heartbeat.viewHash);
+        CPPUNIT_ASSERT(heartbeat.wantsView);
         CPPUNIT_ASSERT(heartbeat.evidence.age == milliseconds { 900 });
         CPPUNIT_ASSERT(heartbeat.loads.front() == (ServiceLoad { ServiceId { "salonik" }, 8, 3, 1 }));
-        const auto domain = std::get<Digest>(decode(encode(all[3]))->message).domains.front();
+        const auto reply = std::get<HeartbeatReply>(decode(encode(all[1]))->message);
+        CPPUNIT_ASSERT(reply.token == 6 && reply.highestVersion == 13 && reply.witnessedVersion == 12);
+        CPPUNIT_ASSERT(reply.lowestVersion == 11 && reply.isReachabilityWitnessed && reply.viewHash == 98);
+        const auto pull = std::get<DigestPull>(decode(encode(all[2]))->message);
+        CPPUNIT_ASSERT(pull.highestVersion == 14 && pull.isStoreReachable && !pull.failureDomain.isEmpty());
+        const auto digest = std::get<Digest>(decode(encode(all[3]))->message);
+        CPPUNIT_ASSERT(digest.highestVersion == 14 && digest.isPeerReachable);
+        const auto& domain = digest.domains.front();
         CPPUNIT_ASSERT(domain.members == summary().members);
         CPPUNIT_ASSERT(domain.removed == summary().removed);
         CPPUNIT_ASSERT(domain.version == summary().version);
