--- a/peridot/include/peridot/IdempotencyClaims.h
+++ b/peridot/include/peridot/IdempotencyClaims.h
@@ -76,7 +76,7 @@
 
     static bool isValidKey(const std::string&) noexcept;
 
-    static constexpr std::size_t largestRecordedBody = 16 * 1024;
+    static constexpr std::size_t s_largestRecordedBody = 16'384;
 
 private:
     struct Claim {
--- a/peridot/src/ControlPlane.cpp
+++ b/peridot/src/ControlPlane.cpp
@@ -292,6 +292,7 @@
             it->second.entryInstances.push_back(member.id);
     });
     std::vector<RegionServers> result;
+    result.reserve(regions.size());
     for (auto& [id, region] : regions)
         result.push_back(std::move(region));
     return result;
--- a/peridot/src/IdempotencyClaims.cpp
+++ b/peridot/src/IdempotencyClaims.cpp
@@ -94,7 +94,7 @@
 void IdempotencyClaims::complete(const RequestId& request, const RecordedResponse& response)
 {
     auto held = m_held.extract(request);
-    if (held.empty() || response.body.size() > largestRecordedBody)
+    if (held.empty() || response.body.size() > s_largestRecordedBody)
         return;
     auto& [key, version, fingerprint] = held.mapped();
     m_updates.push_back(
--- a/peridot/src/LatencyWindow.h
+++ b/peridot/src/LatencyWindow.h
@@ -18,9 +18,9 @@
 /** Estimates the 99th percentile over the last one to two periods. Not thread-safe. */
 class LatencyWindow {
 public:
-    static constexpr Duration period = std::chrono::seconds { 10 };
+    static constexpr Duration s_period = std::chrono::seconds { 10 };
     // Fewer samples say nothing about a 99th percentile.
-    static constexpr std::size_t fewestSamples = 20;
+    static constexpr std::size_t s_fewestSamples = 20;
 
     void add(Duration latency, TimePoint now)
     {
@@ -32,8 +32,8 @@
     std::optional<Duration> p99(TimePoint now)
     {
         advance(now);
-        const auto& chosen = boost::accumulators::count(m_current) >= fewestSamples ? m_current : m_previous;
-        if (boost::accumulators::count(chosen) < fewestSamples)
+        const auto& chosen = boost::accumulators::count(m_current) >= s_fewestSamples ? m_current : m_previous;
+        if (boost::accumulators::count(chosen) < s_fewestSamples)
             return std::nullopt;
         return Duration { static_cast<Duration::rep>(boost::accumulators::p_square_quantile(chosen)) };
     }
@@ -46,9 +46,9 @@
 
     void advance(TimePoint now)
     {
-        if (now - m_periodStart < period)
+        if (now - m_periodStart < s_period)
             return;
-        const bool isNextPeriod = now - m_periodStart < 2 * period;
+        const bool isNextPeriod = now - m_periodStart < 2 * s_period;
         m_previous = isNextPeriod ? std::exchange(m_current, makeAccumulator()) : makeAccumulator();
         if (!isNextPeriod)
             m_current = makeAccumulator();
--- a/peridot/src/Node.cpp
+++ b/peridot/src/Node.cpp
@@ -34,6 +34,7 @@
     std::vector<SiteId> sitesOf(const std::vector<RegionId>& regions)
     {
         std::vector<SiteId> sites;
+        sites.reserve(regions.size());
         for (const auto& region : regions)
             sites.emplace_back(region.value());
         return sites;
--- a/peridot/src/ServiceRouter.cpp
+++ b/peridot/src/ServiceRouter.cpp
@@ -76,8 +76,11 @@
 void ServiceRouter::setServers(const std::vector<RegionServers>& regions, TimePoint now)
 {
     std::lock_guard lock(m_mutex);
+    std::set<RegionId> present;
+    for (const auto& region : regions)
+        present.insert(region.region);
     for (auto& [region, state] : m_regions) {
-        if (std::none_of(regions.begin(), regions.end(), [&](const auto& it) { return it.region == region; })) {
+        if (!present.contains(region)) {
             state.listed.clear();
             applyServers(state, now);
         }
--- a/peridot/src/UnitWaiters.h
+++ b/peridot/src/UnitWaiters.h
@@ -29,7 +29,7 @@
     {
         std::lock_guard lock(m_mutex);
         auto& queue = m_queues[waiting.request.workspace];
-        if (queue.size() >= longestQueue)
+        if (queue.size() >= s_longestQueue)
             return false;
         queue.push_back(std::move(waiting));
         return true;
@@ -107,7 +107,7 @@
 
 private:
     // At a quarter of a class target, more could not be served by the refill of any workspace that fits one instance.
-    static constexpr std::size_t longestQueue = 256;
+    static constexpr std::size_t s_longestQueue = 256;
 
     using Queues = std::map<WorkspaceId, std::deque<Waiting>>;
 
