--- a/libs/config/include/config/Configuration.h
+++ b/libs/config/include/config/Configuration.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace peridot {
@@ -70,7 +71,8 @@
     DrainKind kind = DrainKind::Region;
     std::string name;
 
-    auto operator<=>(const Drain&) const = default;
+    bool operator==(const Drain&) const = default;
+    bool operator<(const Drain& other) const { return std::tie(kind, name) < std::tie(other.kind, other.name); }
 };
 
 /** The last change of a field. Fields never changed since the first version have none. */
--- a/libs/config/include/config/ConfigurationWriter.h
+++ b/libs/config/include/config/ConfigurationWriter.h
@@ -37,7 +37,10 @@
     std::string reason;
 };
 
-/** The change was not applied and will not be applied by this request. */
+/**
+ * The change was not applied and will not be applied by this request. An earlier request with the same id that ended as
+ * unknown may still apply it.
+ */
 struct ChangeUnavailable {
     std::string reason;
 };
--- a/libs/config/src/Configuration.cpp
+++ b/libs/config/src/Configuration.cpp
@@ -85,8 +85,8 @@
 
     void checkKey(const AccessKey& value, const ConfigurationData& data, const std::string& path)
     {
-        require(splitKey(value.id.value() + ".x").has_value(), path + ".id",
-            "expected 1 to 64 letters, digits, '-' or '_'");
+        const auto parts = splitKey(value.id.value() + ".x");
+        require(parts && parts->first == value.id, path + ".id", "expected 1 to 64 letters, digits, '-' or '_'");
         require(data.workspaces.contains(value.workspace), path + ".workspace",
             fmt::format("workspace {} does not exist", value.workspace.value()));
         require(!data.withdrawnKeys.contains(value.id), path + ".id", "a withdrawn key id is never issued again");
--- a/libs/config/src/ConfigurationWriter.cpp
+++ b/libs/config/src/ConfigurationWriter.cpp
@@ -30,6 +30,7 @@
     TimePoint deadline;
     Step step = Step::Queued;
     std::optional<TimePoint> retryAt; // Set while the step waits to be started again.
+    std::uint64_t openCall = 0; // 0 if none is open. Calls of an earlier request with the same id are ignored.
     RowVersion rowVersion = 0; // Of the head row that `next` follows.
     HeadRow head; // The row that was read; later the one to be written.
     std::shared_ptr<const Configuration> next;
@@ -118,6 +119,7 @@
     request.step = step;
     request.retryAt.reset();
     const auto id = m_nextCall++;
+    request.openCall = id;
     m_calls.emplace(id, request.change.id);
     output.calls.push_back({ id, makeCall(request), m_settings.callTimeout });
 }
@@ -137,8 +139,9 @@
         return output;
     const auto it = m_requests.find(call->second);
     m_calls.erase(call);
-    if (it == m_requests.end())
+    if (it == m_requests.end() || it->second->openCall != callId)
         return output;
+    it->second->openCall = 0;
     if (result)
         advance(*it->second, *result, now, output);
     else
