--- a/daemons/peridotd/src/BodyReader.cpp
+++ b/daemons/peridotd/src/BodyReader.cpp
@@ -8,17 +8,17 @@
 
 }
 
-BodyReader::BodyReader(concurrency::streams::istream stream, PieceHandler handlePiece, EndHandler handleEnd)
-    : m_stream(std::move(stream))
+BodyReader::BodyReader(const concurrency::streams::istream& stream, PieceHandler handlePiece, EndHandler handleEnd)
+    : m_stream(stream)
     , m_handlePiece(std::move(handlePiece))
     , m_handleEnd(std::move(handleEnd))
     , m_piece(pieceBytes)
 {
 }
 
-void BodyReader::read(concurrency::streams::istream stream, PieceHandler handlePiece, EndHandler handleEnd)
+void BodyReader::read(const concurrency::streams::istream& stream, PieceHandler handlePiece, EndHandler handleEnd)
 {
-    std::make_shared<BodyReader>(std::move(stream), std::move(handlePiece), std::move(handleEnd))->readNext();
+    std::make_shared<BodyReader>(stream, std::move(handlePiece), std::move(handleEnd))->readNext();
 }
 
 void BodyReader::readNext()
--- a/daemons/peridotd/src/BodyReader.h
+++ b/daemons/peridotd/src/BodyReader.h
@@ -20,9 +20,9 @@
     /** Called at the end of the stream, or with the error that ended it. */
     using EndHandler = std::function<void(std::exception_ptr)>;
 
-    static void read(concurrency::streams::istream, PieceHandler, EndHandler);
+    static void read(const concurrency::streams::istream&, PieceHandler, EndHandler);
 
-    BodyReader(concurrency::streams::istream, PieceHandler, EndHandler);
+    BodyReader(const concurrency::streams::istream&, PieceHandler, EndHandler);
 
 private:
     void readNext();
--- a/daemons/peridotd/src/Daemon.cpp
+++ b/daemons/peridotd/src/Daemon.cpp
@@ -109,7 +109,7 @@
     OperatorListener m_operator;
 };
 
-Daemon::Daemon(DaemonSettings settings, EventLog& log)
+Daemon::Daemon(const DaemonSettings& settings, EventLog& log)
     : m_implementation(std::make_unique<Implementation>(settings, log))
 {
 }
--- a/daemons/peridotd/src/Daemon.h
+++ b/daemons/peridotd/src/Daemon.h
@@ -13,7 +13,7 @@
 
 class Daemon {
 public:
-    Daemon(DaemonSettings, EventLog&);
+    Daemon(const DaemonSettings&, EventLog&);
     ~Daemon();
     Daemon(const Daemon&) = delete;
     Daemon& operator=(const Daemon&) = delete;
--- a/daemons/peridotd/src/ForwardedRequest.cpp
+++ b/daemons/peridotd/src/ForwardedRequest.cpp
@@ -60,9 +60,9 @@
 }
 
 ForwardedRequest::ForwardedRequest(
-    const ForwardingContext& context, http::http_request request, RequestHead head, ScreenedRequest screened)
+    const ForwardingContext& context, const http::http_request& request, RequestHead head, ScreenedRequest screened)
     : m_context(context)
-    , m_request(std::move(request))
+    , m_request(request)
     , m_head(std::move(head))
     , m_screened(std::move(screened))
     , m_start(steadyNow())
--- a/daemons/peridotd/src/ForwardedRequest.h
+++ b/daemons/peridotd/src/ForwardedRequest.h
@@ -36,7 +36,7 @@
  */
 class ForwardedRequest final : public ActiveRequest, public std::enable_shared_from_this<ForwardedRequest> {
 public:
-    ForwardedRequest(const ForwardingContext&, web::http::http_request, RequestHead, ScreenedRequest);
+    ForwardedRequest(const ForwardingContext&, const web::http::http_request&, RequestHead, ScreenedRequest);
 
     /** Reads the body, as far as it is buffered, and hands the request to the node. */
     void start();
--- a/daemons/peridotd/src/OperatorListener.cpp
+++ b/daemons/peridotd/src/OperatorListener.cpp
@@ -77,7 +77,7 @@
     auto body = std::make_shared<std::string>();
     BodyReader::read(
         request.body(),
-        [this, request, id, body](const std::uint8_t* data, std::size_t size) {
+        [request, id, body](const std::uint8_t* data, std::size_t size) {
             body->append(data, data + size);
             if (body->size() <= longestBody)
                 return true;
--- a/daemons/peridotd/src/Settings.cpp
+++ b/daemons/peridotd/src/Settings.cpp
@@ -19,7 +19,7 @@
 
     std::string address(JsonReader& reader, const std::string& name)
     {
-        const std::string value = reader.string(name);
+        std::string value = reader.string(name);
         const auto colon = value.rfind(':');
         const bool hasHost = colon != std::string::npos && colon > 0;
         const std::string port = hasHost ? value.substr(colon + 1) : "";
