--- /dev/null
+++ b/tools/program/include/program/CommandLine.h
@@ -0,0 +1,39 @@
+// Command line of a program that is driven by one settings file.
+
+#pragma once
+
+#include "base/Error.h"
+#include "base/EventLog.h"
+
+#include <optional>
+#include <string>
+
+namespace peridot {
+
+/** Exit codes of all programs. */
+enum class ExitCode : int {
+    Success = 0,
+    Failure = 1,
+    InvalidSettings = 2,
+};
+
+struct ProgramDescription {
+    std::string name;
+    std::string version;
+    std::string purpose;
+};
+
+struct CommandLine {
+    std::optional<ExitCode> exitCode; // Set if the program is done, as after --help.
+    std::string settingsPath;
+    bool isCheckOnly = false;
+    LogLevel logLevel = LogLevel::Info;
+};
+
+/** Parses `--settings FILE [--check-settings] [--log-level L] [--help] [--version]`; prints help and errors. */
+CommandLine parseCommandLine(const ProgramDescription&, int argc, const char* const* argv);
+
+/** Prints a settings error to standard error and returns the exit code for it. */
+int reportInvalidSettings(const ProgramDescription&, const Error&);
+
+}
