--- a/libs/routing/benchmarks/RoutingComparison.cpp
+++ b/libs/routing/benchmarks/RoutingComparison.cpp
@@ -48,7 +48,7 @@
     line.add("load", load).add("reports", reports.name).add("policy", enumName(policy)).add("seed", seed);
     line.add("offered", result.offered).add("p50_wait_ms", result.wait(0.5)).add("p99_wait_ms", result.wait(0.99));
     line.add("sheds", result.sheds).add("lost", result.lost).add("refused", result.refused);
-    line.add("overload_share", result.overloadShare);
+    line.add("overload_share", result.overloadShare).add("longest_overload_ms", result.longestOverload);
     std::cout << line.text() << std::endl;
 }
 
--- a/libs/routing/include/routing/RequestQueue.h
+++ b/libs/routing/include/routing/RequestQueue.h
@@ -62,6 +62,7 @@
     std::size_t maximumLength = 1024;
     double quantum = 1; // Cost that each workspace may spend in a round.
     Duration rateWindow = std::chrono::seconds(2); // Time constant of the measured drain rate.
+    double lessImportantShare = 0.75; // Of the allowed wait, for a request while more important ones wait.
     double patience = 2; // A request without a deadline expires after this many targets.
 };
 
@@ -103,7 +104,7 @@
     struct Order {
         TimePoint due;
         int importance = 0;
-        std::uint64_t sequence = 0;
+        std::int64_t sequence = 0; // Of arrival; negative for requests that were put back.
 
         bool operator<(const Order& other) const noexcept;
     };
@@ -129,14 +130,22 @@
     TimePoint dueOf(const QueuedRequest&) const noexcept;
     /** Longest wait after which the request still meets its target and deadline. */
     Duration allowedWait(TimePoint now, const QueuedRequest&) const noexcept;
+    bool isMoreImportantWaiting(const QueuedRequest&) const noexcept;
     Duration waitFor(double costAhead, TimePoint now) const;
     double costAhead(const WorkspaceId&, TimePoint due, double cost) const;
     bool makeRoom(TimePoint now, const QueuedRequest&);
     bool displaceForTarget(TimePoint now, const QueuedRequest&);
-    /** Returns a request of less importance in a workspace that waits for at least as much as this request's. */
-    std::optional<RequestId> displaceable(const QueuedRequest&) const;
+    /** Whether a request of @p workspace may displace a less important one of @p other: a workspace that holds more
+     * than
+     *  @p fairShare of the waiting cost only from one that holds at least as much. */
+    bool mayDisplace(const QueuedRequest&, const WorkspaceId& other, double fairShare) const;
+    /** Returns the request to displace first for this one, if there is any. */
+    std::optional<RequestId> displaceable(const QueuedRequest&, double fairShare) const;
+    double backlogWith(const QueuedRequest&) const;
+    /** Workspaces with waiting requests, counting this one. */
+    std::size_t activeWorkspaces(const WorkspaceId&) const;
     void displace(TimePoint now, const RequestId&);
-    void insert(TimePoint now, QueuedRequest);
+    void insert(TimePoint now, QueuedRequest, std::int64_t sequence);
     Entry erase(const RequestId&);
     void expire(TimePoint now);
     /** Returns the workspace whose first request is next; credits a new round if none may spend. */
@@ -148,10 +157,12 @@
     RequestQueueOptions m_options;
     std::unordered_map<RequestId, Entry> m_requests;
     Workspaces m_workspaces; // Those with waiting requests or with credit to settle in this round.
+    std::map<int, std::size_t> m_countByImportance; // Of the waiting requests.
     std::set<std::pair<TimePoint, RequestId>> m_expiries;
     std::vector<RemovedRequest> m_removed;
     std::uint64_t m_round = 1;
-    std::uint64_t m_sequence = 0;
+    std::int64_t m_sequence = 0;
+    std::int64_t m_putBackSequence = 0;
 
     // Drain rate: cost taken and time, both fading with the rate window.
     TimePoint m_rateUpdated;
--- a/libs/routing/simulation/ServiceSimulation.cpp
+++ b/libs/routing/simulation/ServiceSimulation.cpp
@@ -54,6 +54,7 @@
     std::uint64_t sent = 0;
     TimePoint noted;
     double overloadedSeconds = 0;
+    std::optional<TimePoint> overloadedSince;
     std::deque<std::pair<TimePoint, LoadReport>> history; // Of true loads, for reports that lag.
     std::optional<LoadReport> frozen;
 };
@@ -224,7 +225,7 @@
     return std::move(m_result);
 }
 
-void ServiceSimulation::arrive(std::shared_ptr<Request> request)
+void ServiceSimulation::arrive(const std::shared_ptr<Request>& request)
 {
     auto& instance = *m_instances[request->instance];
     ++m_result.offered;
@@ -259,7 +260,7 @@
     }
 }
 
-void ServiceSimulation::send(std::size_t index, std::shared_ptr<Request> request, std::size_t server)
+void ServiceSimulation::send(std::size_t index, const std::shared_ptr<Request>& request, std::size_t server)
 {
     request->sent = m_now;
     ++m_servers[server]->sent;
@@ -305,7 +306,7 @@
     }
 }
 
-void ServiceSimulation::complete(std::shared_ptr<Request> request, std::size_t index, BackendOutcome outcome)
+void ServiceSimulation::complete(const std::shared_ptr<Request>& request, std::size_t index, BackendOutcome outcome)
 {
     auto& instance = *m_instances[request->instance];
     --m_servers[index]->announced;
@@ -365,9 +366,16 @@
 
 void ServiceSimulation::noteLoad(Server& server)
 {
-    if (static_cast<double>(server.waiting.size()) > overloadedQueue * server.info.slots)
+    const bool isOverloaded = static_cast<double>(server.waiting.size()) > overloadedQueue * server.info.slots;
+    if (isOverloaded)
         server.overloadedSeconds += toSeconds(m_now - server.noted);
     server.noted = m_now;
+    if (!isOverloaded)
+        server.overloadedSince.reset();
+    else if (!server.overloadedSince)
+        server.overloadedSince = m_now;
+    else
+        m_result.longestOverload = std::max(m_result.longestOverload, m_now - *server.overloadedSince);
 }
 
 }
--- a/libs/routing/simulation/ServiceSimulation.h
+++ b/libs/routing/simulation/ServiceSimulation.h
@@ -84,6 +84,7 @@
     std::uint64_t refused = 0; // By the queues: early, displaced or expired.
     std::uint64_t sentToLeaving = 0; // Chosen after the instance knew that the server leaves.
     double overloadShare = 0; // Share of server time with more than half the slots' number of requests waiting.
+    Duration longestOverload { 0 }; // Longest time that one server stayed in that state.
     std::vector<Duration> waits; // From arrival to the start at a server, sorted.
     std::map<WorkspaceId, std::vector<Duration>> queueWaits; // From arrival to the first dispatch, sorted.
     std::vector<std::uint64_t> servedBy; // By server.
@@ -134,12 +135,12 @@
     void scheduleArrivals();
     void addServer(bool isCold);
     void publishList();
-    void arrive(std::shared_ptr<Request>);
+    void arrive(const std::shared_ptr<Request>&);
     void dispatch(std::size_t instance);
-    void send(std::size_t instance, std::shared_ptr<Request>, std::size_t server);
+    void send(std::size_t instance, const std::shared_ptr<Request>&, std::size_t server);
     void receive(std::shared_ptr<Request>, std::size_t server);
     void startNext(std::size_t server);
-    void complete(std::shared_ptr<Request>, std::size_t server, BackendOutcome);
+    void complete(const std::shared_ptr<Request>&, std::size_t server, BackendOutcome);
     void reportLoads(std::size_t instance);
     LoadReport reportOf(Server&) const;
     void noteLoad(Server&);
--- a/libs/routing/src/RequestQueue.cpp
+++ b/libs/routing/src/RequestQueue.cpp
@@ -52,7 +52,15 @@
     auto latestStart = request.arrived + std::max(request.target - request.expectedDuration, request.target / 4);
     if (request.deadline)
         latestStart = std::min(latestStart, *request.deadline - request.expectedDuration);
-    return latestStart - now;
+    // The rest of the wait is left to bursts of the more important classes; they could not displace requests that were
+    // served already.
+    const auto share = isMoreImportantWaiting(request) ? m_options.lessImportantShare : 1;
+    return Duration { static_cast<std::int64_t>(share * static_cast<double>((latestStart - now).count())) };
+}
+
+bool RequestQueue::isMoreImportantWaiting(const QueuedRequest& request) const noexcept
+{
+    return m_countByImportance.upper_bound(request.importance) != m_countByImportance.end();
 }
 
 tl::expected<void, QueueRefusal> RequestQueue::push(TimePoint now, QueuedRequest request)
@@ -72,41 +80,52 @@
     }
     if (m_requests.size() >= m_options.maximumLength && !makeRoom(now, request))
         return tl::unexpected(QueueRefusal { QueueRefusalReason::QueueFull, retryAfter(waitFor(1, now)) });
-    insert(now, std::move(request));
+    insert(now, std::move(request), ++m_sequence);
     return {};
 }
 
+double RequestQueue::backlogWith(const QueuedRequest& request) const
+{
+    const auto own = m_workspaces.find(request.workspace);
+    return (own == m_workspaces.end() ? 0 : own->second.cost) + request.cost;
+}
+
+std::size_t RequestQueue::activeWorkspaces(const WorkspaceId& id) const
+{
+    const auto waiting = std::count_if(m_workspaces.begin(), m_workspaces.end(),
+        [&](const auto& entry) { return entry.first == id || !entry.second.waiting.empty(); });
+    return static_cast<std::size_t>(waiting) + !m_workspaces.count(id);
+}
+
+bool RequestQueue::mayDisplace(const QueuedRequest& request, const WorkspaceId& other, double fairShare) const
+{
+    const auto own = backlogWith(request);
+    return other == request.workspace || own <= fairShare || m_workspaces.at(other).cost >= own;
+}
+
 bool RequestQueue::displaceForTarget(TimePoint now, const QueuedRequest& request)
 {
-    // First check whether enough can be displaced, so that nothing is displaced in vain.
     const auto due = dueOf(request);
     const auto allowed = allowedWait(now, request);
-    const auto own = m_workspaces.find(request.workspace);
-    const auto ownBacklog = (own == m_workspaces.end() ? 0 : own->second.cost) + request.cost;
-    double ownLess = 0;
-    if (own != m_workspaces.end()) {
-        for (const auto& order : own->second.displaceable) {
-            if (order.importance >= request.importance)
-                break;
-            if (order.due < due)
-                ownLess += m_requests.at(own->second.waiting.at(order)).request.cost;
-        }
-    }
-    auto freeable = ownLess;
+    const auto rate = drainRate(now).value_or(0);
+    const auto fairShare = toSeconds(allowed) * rate / static_cast<double>(activeWorkspaces(request.workspace));
+    // First check whether enough can be displaced, so that nothing is displaced in vain.
+    double freeable = 0;
     for (const auto& [id, workspace] : m_workspaces) {
-        if (id == request.workspace || workspace.cost < ownBacklog)
+        if (!mayDisplace(request, id, fairShare))
             continue;
         for (const auto& order : workspace.displaceable) {
             if (order.importance >= request.importance)
                 break;
-            freeable += m_requests.at(workspace.waiting.at(order)).request.cost;
+            if (id != request.workspace || order.due <= due)
+                freeable += m_requests.at(workspace.waiting.at(order)).request.cost;
         }
     }
     const auto ahead = costAhead(request.workspace, due, request.cost);
     if (waitFor(std::max(0.0, ahead - freeable), now) > allowed)
         return false;
     while (waitFor(costAhead(request.workspace, due, request.cost), now) > allowed) {
-        const auto victim = displaceable(request);
+        const auto victim = displaceable(request, fairShare);
         if (!victim)
             return false;
         displace(now, *victim);
@@ -114,13 +133,11 @@
     return true;
 }
 
-std::optional<RequestId> RequestQueue::displaceable(const QueuedRequest& request) const
+std::optional<RequestId> RequestQueue::displaceable(const QueuedRequest& request, double fairShare) const
 {
-    const auto own = m_workspaces.find(request.workspace);
-    const auto ownBacklog = (own == m_workspaces.end() ? 0 : own->second.cost) + request.cost;
     const Workspace* best = nullptr;
     for (const auto& [id, workspace] : m_workspaces) {
-        if (workspace.displaceable.empty() || (id != request.workspace && workspace.cost < ownBacklog))
+        if (workspace.displaceable.empty() || !mayDisplace(request, id, fairShare))
             continue;
         const auto& order = *workspace.displaceable.begin();
         if (order.importance < request.importance && (!best || DisplacedBefore()(order, *best->displaceable.begin())))
@@ -136,14 +153,14 @@
     // A workspace that holds more than its share of a full queue gives way to one that holds less.
     const auto largest = std::max_element(m_workspaces.begin(), m_workspaces.end(),
         [](const auto& a, const auto& b) { return a.second.waiting.size() < b.second.waiting.size(); });
-    const auto share = m_options.maximumLength / std::max<std::size_t>(1, m_workspaces.size());
+    const auto share = m_options.maximumLength / activeWorkspaces(request.workspace);
     if (largest->first != request.workspace && largest->second.waiting.size() > share
         && largest->second.waiting.size() > length(request.workspace) + 1) {
         const auto victim = largest->second.waiting.at(*largest->second.displaceable.begin());
         displace(now, victim);
         return true;
     }
-    const auto victim = displaceable(request);
+    const auto victim = displaceable(request, static_cast<double>(share));
     if (victim)
         displace(now, *victim);
     return victim.has_value();
@@ -156,11 +173,11 @@
     m_removed.push_back({ std::move(entry.request), { QueueRefusalReason::Displaced, retryAfter(wait) } });
 }
 
-void RequestQueue::insert(TimePoint now, QueuedRequest request)
+void RequestQueue::insert(TimePoint now, QueuedRequest request, std::int64_t sequence)
 {
     const auto id = request.id;
     Entry entry;
-    entry.order = { dueOf(request), request.importance, ++m_sequence };
+    entry.order = { dueOf(request), request.importance, sequence };
     entry.queued = now;
     entry.expires = request.deadline ? *request.deadline
                                      : request.arrived
@@ -170,6 +187,7 @@
     workspace.displaceable.insert(entry.order);
     workspace.cost += request.cost;
     m_expiries.emplace(entry.expires, id);
+    ++m_countByImportance[request.importance];
     entry.request = std::move(request);
     m_requests.emplace(id, std::move(entry));
 }
@@ -184,6 +202,8 @@
     workspace.displaceable.erase(entry.order);
     workspace.cost = workspace.waiting.empty() ? 0 : workspace.cost - entry.request.cost;
     m_expiries.erase({ entry.expires, id });
+    if (const auto count = m_countByImportance.find(entry.request.importance); !--count->second)
+        m_countByImportance.erase(count);
     return std::move(entry);
 }
 
@@ -255,7 +275,7 @@
     m_busyCost = std::max(0.0, m_busyCost - request.cost);
     if (const auto it = m_workspaces.find(request.workspace); it != m_workspaces.end())
         it->second.credit = std::min(m_options.quantum, it->second.credit + request.cost);
-    insert(now, std::move(request));
+    insert(now, std::move(request), --m_putBackSequence);
 }
 
 void RequestQueue::expire(TimePoint now)
