peridot: grant link units at the sender, spill before refusing, keep a drained region until units come

A request that the queue refused was never offered to another region, and during a drain the first lookups were refused for 3 s. Change: the ledger offers its outgoing links; enqueue tries another region before it refuses; a drained region that still serves stays the answer while no shift units are to be had; a first rate of 5 lookups/s is offered before the ramp starts.

--- a/libs/routing/include/routing/LookupPlanner.h
+++ b/libs/routing/include/routing/LookupPlanner.h
@@ -50,6 +50,9 @@
 struct LookupAnswer {
     std::vector<LookupEntry> instances; // Ordered; empty if no region has a usable instance.
     std::optional<RegionShift> shift; // Set if the home region cannot serve; to be backed with units or refused.
+    // With a shift: instances of a home region that is drained but still serves. They are the answer while no units are
+    // to be had, since a drain is planned and refuses nobody.
+    std::vector<LookupEntry> stay;
 };
 
 /** Immutable; all calls are thread-safe. */
@@ -72,9 +75,11 @@
         std::vector<std::uint64_t> hashes; // Of the instance names, in the order of `instances`.
     };
     std::vector<const RegionEntries*> orderRegions(const RegionId& origin, const ServiceId&, std::uint64_t seed) const;
+    static void append(const RegionEntries&, std::size_t count, std::uint64_t seed, std::vector<LookupEntry>&);
 
     RegionId m_localRegion;
     std::map<RegionId, RegionEntries> m_regions; // Only regions that serve.
+    std::map<RegionId, RegionEntries> m_drainedRegions; // Instances that are listed in none of m_regions.
     std::map<std::pair<RegionId, ServiceId>, double> m_headroom;
     std::map<std::pair<RegionId, RegionId>, Duration> m_delays;
 };
--- a/libs/routing/src/LookupPlanner.cpp
+++ b/libs/routing/src/LookupPlanner.cpp
@@ -62,10 +62,11 @@
     plan->m_headroom = inputs.headroom;
     plan->m_delays = inputs.delays;
     for (const auto& member : inputs.instances) {
-        if (member.state != InstanceState::Ready || inputs.drainedRegions.count(member.region)
-            || inputs.drainedFailureDomains.count(member.failureDomain) || inputs.drainedInstances.count(member.id))
+        if (member.state != InstanceState::Ready || inputs.drainedFailureDomains.count(member.failureDomain)
+            || inputs.drainedInstances.count(member.id))
             continue;
-        auto& region = plan->m_regions[member.region];
+        auto& regions = inputs.drainedRegions.count(member.region) ? plan->m_drainedRegions : plan->m_regions;
+        auto& region = regions[member.region];
         region.id = member.region;
         region.instances.push_back({ member.id, member.region, member.failureDomain, member.callerAddress });
         region.hashes.push_back(hashOf(member.id.value()));
@@ -114,26 +115,32 @@
     LookupAnswer answer;
     if (regions.empty())
         return answer;
-    if (regions.front()->id != origin)
+    if (regions.front()->id != origin) {
         answer.shift = RegionShift { origin, regions.front()->id };
-    for (std::size_t i = 0; i < std::min(regions.size(), 1 + otherRegions); ++i) {
-        const auto& region = *regions[i];
-        std::vector<std::pair<std::uint64_t, const LookupEntry*>> scored;
-        for (std::size_t j = 0; j < region.instances.size(); ++j)
-            scored.emplace_back(mixHashes(seed, region.hashes[j]), &region.instances[j]);
-        std::sort(scored.begin(), scored.end());
-        std::vector<const LookupEntry*> ranked;
-        ranked.reserve(scored.size());
-        for (const auto& [score, entry] : scored)
-            ranked.push_back(entry);
-        spreadOverDomains(ranked);
-        const auto count = std::min(ranked.size(), i ? entriesOfEachOther : entriesOfTarget);
-        for (std::size_t j = 0; j < count; ++j)
-            answer.instances.push_back(*ranked[j]);
+        if (const auto it = m_drainedRegions.find(origin); it != m_drainedRegions.end())
+            append(it->second, entriesOfTarget, seed, answer.stay);
     }
+    for (std::size_t i = 0; i < std::min(regions.size(), 1 + otherRegions); ++i)
+        append(*regions[i], i ? entriesOfEachOther : entriesOfTarget, seed, answer.instances);
     return answer;
 }
 
+void LookupPlan::append(
+    const RegionEntries& region, std::size_t count, std::uint64_t seed, std::vector<LookupEntry>& entries)
+{
+    std::vector<std::pair<std::uint64_t, const LookupEntry*>> scored;
+    for (std::size_t i = 0; i < region.instances.size(); ++i)
+        scored.emplace_back(mixHashes(seed, region.hashes[i]), &region.instances[i]);
+    std::sort(scored.begin(), scored.end());
+    std::vector<const LookupEntry*> ranked;
+    ranked.reserve(scored.size());
+    for (const auto& [score, entry] : scored)
+        ranked.push_back(entry);
+    spreadOverDomains(ranked);
+    for (std::size_t i = 0; i < std::min(ranked.size(), count); ++i)
+        entries.push_back(*ranked[i]);
+}
+
 bool LookupPlan::isServing(const RegionId& region) const { return m_regions.count(region); }
 
 }
--- a/peridot/src/Node.cpp
+++ b/peridot/src/Node.cpp
@@ -139,7 +139,7 @@
         if (!view->configuration->hasService(query.service))
             return makeRefusal(RefusalCode::UnknownService);
         const auto [home, seed] = locate(query);
-        const auto planned = view->plan->answer(home, query.service, seed);
+        auto planned = view->plan->answer(home, query.service, seed);
         LogLine line("lookup");
         line.add("service", query.service).add("client", query.clientAddress);
         if (home)
@@ -148,7 +148,11 @@
             auto* holder = m_budgets.find(planned.shift->to);
             const BudgetKey key { BudgetKind::ShiftIn, planned.shift->from.value() };
             auto spent = holder ? holder->trySpend(key, 1, now) : SpendOutcome {};
-            if (!spent.isSpent) {
+            if (!spent.isSpent && !planned.stay.empty()) {
+                planned.instances = std::move(planned.stay);
+                planned.shift.reset();
+                line.add("shift", "no_units");
+            } else if (!spent.isSpent) {
                 line.add("code", enumName(RefusalCode::ShiftInProgress)).add("to", planned.shift->to);
                 m_log.write(LogLevel::Info, line);
                 const auto retryAfter = std::clamp<Duration>(
--- a/peridot/src/RegionLedgerHost.cpp
+++ b/peridot/src/RegionLedgerHost.cpp
@@ -23,6 +23,9 @@
     // Part of a link that spilled requests may fill; control traffic and the platform's own use the rest.
     constexpr double linkShare = 0.8;
     constexpr double burstSeconds = 0.2;
+    // Lookups per second accepted from a home region that had not asked before, so that the first ones of a shift don't
+    // wait for the ramp's next update.
+    constexpr double firstShiftRate = 5;
 
     std::uint64_t rankHash(const RegionId& region, const InstanceId& instance)
     {
@@ -165,7 +168,7 @@
     for (const auto& region : m_settings.regions) {
         if (region == m_settings.self.region)
             continue;
-        const auto subject = region.value() + ">" + m_settings.self.region.value();
+        const auto subject = m_settings.self.region.value() + ">" + region.value();
         m_ledger.setShare({ BudgetKind::Link, subject }, shareOf(kilobytesPerSecond), now);
     }
 }
@@ -185,8 +188,10 @@
         requestsPerSecond += std::max(capacity.freeSlots - spillReserve * capacity.slots, 0.0) / capacity.meanSeconds;
     m_shiftRamp.update(now, demand, spillShare * requestsPerSecond / std::max(m_requestsPerLookup, 0.1));
     for (const auto& region : m_settings.regions) {
-        if (region != m_settings.self.region)
-            m_ledger.setShare({ BudgetKind::ShiftIn, region.value() }, shareOf(m_shiftRamp.rate(region)), now);
+        if (region == m_settings.self.region)
+            continue;
+        const auto rate = std::max(m_shiftRamp.rate(region), requestsPerSecond > 0 ? firstShiftRate : 0);
+        m_ledger.setShare({ BudgetKind::ShiftIn, region.value() }, shareOf(rate), now);
     }
 }
 
--- a/peridot/src/ServiceRouter.cpp
+++ b/peridot/src/ServiceRouter.cpp
@@ -139,7 +139,10 @@
     retryBudget(record.request.trafficClass.id).requestStarted(now);
     if (auto pushed = m_queue.push(now, makeQueued(record)); !pushed) {
         const auto& [reason, retryAfter] = pushed.error();
-        refuse(record, makeRefusal(refusalCode(reason), RunState::NotRun, retryAfter), now, output);
+        if (auto target = trySpill(record, NoBackendReason::AllAtLimit, now))
+            dispatch(record, target->region, target->choice, now, output);
+        else
+            refuse(record, makeRefusal(refusalCode(reason), RunState::NotRun, retryAfter), now, output);
     }
     pump(now, output);
     return output;
@@ -174,8 +177,11 @@
         dispatch(record, m_region, *choice, now, output);
         return true;
     }
-    if (trySpill(record, choice.error(), now, output))
+    if (auto target = trySpill(record, choice.error(), now)) {
+        m_queue.pop(now);
+        dispatch(record, target->region, target->choice, now, output);
         return true;
+    }
     if (choice.error() == NoBackendReason::AllAtLimit)
         return false;
     m_queue.pop(now);
@@ -184,7 +190,8 @@
     return true;
 }
 
-bool ServiceRouter::trySpill(Record& record, NoBackendReason reason, TimePoint now, RequestOutput& output)
+std::optional<ServiceRouter::SpillTarget> ServiceRouter::trySpill(
+    const Record& record, NoBackendReason reason, TimePoint now)
 {
     SpillRegion local { m_region, Duration { 0 }, 0, Duration { 0 }, false };
     std::vector<SpillRegion> others;
@@ -201,16 +208,13 @@
         request.head.bodyBytes, static_cast<std::uint64_t>(m_meanResponseBytes) };
     auto decisions = m_spill.choose(spill, local, others);
     if (!decisions)
-        return false;
+        return std::nullopt;
     for (const auto& decision : *decisions) {
         auto choice = regionState(decision.region).pool->choose(now, requestCost, record.excluded);
-        if (!choice || !spendAll(decision, now))
-            continue;
-        m_queue.pop(now);
-        dispatch(record, decision.region, *choice, now, output);
-        return true;
+        if (choice && spendAll(decision, now))
+            return SpillTarget { decision.region, *choice };
     }
-    return false;
+    return std::nullopt;
 }
 
 bool ServiceRouter::spendAll(const SpillDecision& decision, TimePoint now)
--- a/peridot/src/ServiceRouter.h
+++ b/peridot/src/ServiceRouter.h
@@ -69,6 +69,11 @@
         std::optional<Running> running;
     };
 
+    struct SpillTarget {
+        RegionId region;
+        BackendChoice choice;
+    };
+
     struct RegionState {
         std::unique_ptr<BackendPool> pool;
         std::vector<BackendServerInfo> listed;
@@ -79,7 +84,8 @@
     QueuedRequest makeQueued(const Record&) const;
     void pump(TimePoint now, RequestOutput&);
     bool dispatchFront(TimePoint now, RequestOutput&);
-    bool trySpill(Record&, NoBackendReason, TimePoint now, RequestOutput&);
+    /** Finds a place in another region and spends the units that it needs. */
+    std::optional<SpillTarget> trySpill(const Record&, NoBackendReason, TimePoint now);
     bool spendAll(const SpillDecision&, TimePoint now);
     void dispatch(Record&, const RegionId&, const BackendChoice&, TimePoint now, RequestOutput&);
     void retryOrEnd(Record&, const DispatchOutcome&, TimePoint now, RequestOutput&);
--- a/peridot/tests/NodeTest.cpp
+++ b/peridot/tests/NodeTest.cpp
@@ -1,6 +1,6 @@
 // How nodes act together: keys, budgets, at-most-once execution, loss of contact and graceful shutdown.
 
-#include "SmallFleet.h"
+#include "support/SmallFleet.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -266,12 +266,12 @@
     void leavingServerGetsNoNewWork()
     {
         start(400, 200);
-        m_fleet->store.setInstanceState("server-a1", PlatformInstanceState::Leaving);
+        m_fleet->store.setInstanceState("booking-a1", PlatformInstanceState::Leaving);
         m_fleet->run(3s);
         m_fleet->dispatches.clear();
         drive(1, 1s, "large");
         for (const auto& [id, dispatches] : m_fleet->dispatches)
-            CPPUNIT_ASSERT(dispatches[0].backendServer.value() != "server-a1");
+            CPPUNIT_ASSERT(dispatches[0].backendServer.value() != "booking-a1");
         CPPUNIT_ASSERT(!m_fleet->dispatches.empty());
     }
 };
--- a/peridot/tests/SmallFleet.h
+++ b/tests/support/SmallFleet.h
@@ -18,18 +18,45 @@
 
 namespace peridot {
 
+struct PlannedService {
+    std::string name;
+    int servers = 0; // In all regions together; they are dealt out to the regions and failure domains in turn.
+    std::uint32_t slots = 0;
+};
+
+struct FleetPlan {
+    std::string deployment = "test";
+    std::vector<std::string> regions = { "a", "b", "c" };
+    int instances = 6;
+    std::vector<PlannedService> services = { { "booking", 6, 8 } };
+    Duration regionDelay = std::chrono::milliseconds { 5 };
+};
+
+/** Keeps the lines of chosen events. */
+class RecordingEventLog final : public EventLog {
+public:
+    bool isEnabled(LogLevel level) const noexcept override { return level != LogLevel::Debug; }
+    void write(LogLevel level, const LogLine& line) override
+    {
+        if (isEnabled(level))
+            lines.push_back(line.text());
+    }
+
+    std::vector<std::string> lines;
+};
+
 class SmallFleet {
 public:
     static constexpr Duration s_step = std::chrono::milliseconds { 5 };
 
-    /** Starts @p instancesPerRegion instances in each of three regions; region "a" holds no special role. */
-    explicit SmallFleet(int instancesPerRegion = 2, int serversPerRegion = 2)
+    explicit SmallFleet(FleetPlan plan = {})
+        : m_plan(std::move(plan))
     {
-        for (const std::string region : { "a", "b", "c" }) {
-            for (int i = 0; i < instancesPerRegion; ++i)
-                addInstance(region, i);
-            for (int i = 0; i < serversPerRegion; ++i)
-                addServer(region, i);
+        for (int i = 0; i < m_plan.instances; ++i)
+            addInstance(i);
+        for (const auto& service : m_plan.services) {
+            for (int i = 0; i < service.servers; ++i)
+                addServer(service, i);
         }
     }
 
@@ -120,6 +147,7 @@
 
     TimePoint now { std::chrono::seconds { 100 } };
     MemoryStore store;
+    RecordingEventLog log;
     std::set<std::string> withoutStore; // Instances that don't reach the store.
     bool completesAtOnce = true; // Dispatches complete in the next step.
     std::map<RequestId, std::vector<DispatchRequest>> dispatches;
@@ -155,41 +183,53 @@
     }
 
 private:
-    void addInstance(const std::string& region, int number)
+    /** Region and failure domain of the n-th instance or server. */
+    std::pair<RegionId, FailureDomainId> place(int number) const
     {
-        const auto name = region + std::to_string(number + 1);
+        const auto regionCount = static_cast<int>(m_plan.regions.size());
+        const auto& region = m_plan.regions[static_cast<std::size_t>(number % regionCount)];
+        return { RegionId(region), FailureDomainId(region + "-" + std::to_string(number / regionCount % 2 + 1)) };
+    }
+
+    void addInstance(int number)
+    {
+        const auto [region, failureDomain] = place(number);
+        const auto regionCount = static_cast<int>(m_plan.regions.size());
+        const auto name = region.value() + std::to_string(number / regionCount + 1);
         NodeSettings settings;
-        settings.deployment = DeploymentId("test");
-        settings.self
-            = { InstanceId(name), 1, RegionId(region), FailureDomainId(region + "-" + std::to_string(number % 2)),
-                  "caller:" + name, "peer:" + name, InstanceState::Starting, 0 };
-        settings.regions = { RegionId("a"), RegionId("b"), RegionId("c") };
-        settings.regionDelay = std::chrono::milliseconds { 5 };
-        settings.clientBlocks = { { "10.1.0.0/16", { RegionId("a") } }, { "10.2.0.0/16", { RegionId("b") } },
-            { "10.3.0.0/16", { RegionId("c") } } };
+        settings.deployment = DeploymentId(m_plan.deployment);
+        settings.self = { InstanceId(name), 1, region, failureDomain, "caller:" + name, "peer:" + name,
+            InstanceState::Starting, 0 };
+        settings.regionDelay = m_plan.regionDelay;
+        for (std::size_t i = 0; i < m_plan.regions.size(); ++i) {
+            settings.regions.emplace_back(m_plan.regions[i]);
+            settings.clientBlocks.push_back({ fmt::format("10.{}.0.0/16", i + 1), { RegionId(m_plan.regions[i]) } });
+        }
         settings.randomSeed = 7 + m_order.size();
         PlatformInstance instance;
         instance.kind = PlatformInstanceKind::Entry;
         instance.name = name;
-        instance.region = settings.self.region;
-        instance.failureDomain = settings.self.failureDomain;
+        instance.region = region;
+        instance.failureDomain = failureDomain;
         instance.address = settings.self.callerAddress;
         instance.peerAddress = settings.self.peerAddress;
         store.putInstance(instance);
-        m_nodes[name] = std::make_unique<Node>(settings, m_log);
+        m_nodes[name] = std::make_unique<Node>(settings, log);
         m_order.push_back(name);
     }
 
-    void addServer(const std::string& region, int number)
+    void addServer(const PlannedService& service, int number)
     {
+        const auto [region, failureDomain] = place(number);
         PlatformInstance server;
         server.kind = PlatformInstanceKind::BackendServer;
-        server.name = "server-" + region + std::to_string(number + 1);
-        server.region = RegionId(region);
-        server.failureDomain = FailureDomainId(region + "-" + std::to_string(number % 2));
-        server.service = ServiceId("booking");
+        server.name = service.name + "-" + region.value()
+            + std::to_string(number / static_cast<int>(m_plan.regions.size()) + 1);
+        server.region = region;
+        server.failureDomain = failureDomain;
+        server.service = ServiceId(service.name);
         server.address = "backend:" + server.name;
-        server.slots = 8;
+        server.slots = service.slots;
         server.maximumConnections = 360;
         store.putInstance(server);
     }
@@ -205,7 +245,8 @@
         ++messages;
         if (m_isolated.contains(name) || m_isolated.contains(action.to.value()))
             return;
-        Envelope envelope { DeploymentId("test"), InstanceId(name), 1, "peer:" + name, std::move(action.message) };
+        Envelope envelope { DeploymentId(m_plan.deployment), InstanceId(name), 1, "peer:" + name,
+            std::move(action.message) };
         m_events.emplace_back([this, to = action.to.value(), envelope = std::move(envelope)] {
             if (m_nodes.contains(to))
                 perform(to, node(to).receive(envelope, now));
@@ -251,7 +292,7 @@
         });
     }
 
-    NullEventLog m_log;
+    FleetPlan m_plan;
     std::map<std::string, std::unique_ptr<Node>> m_nodes;
     std::vector<std::string> m_order;
     std::set<std::string> m_isolated;
