--- a/libs/membership/include/membership/LiveView.h
+++ b/libs/membership/include/membership/LiveView.h
@@ -46,10 +46,11 @@
     /** Takes what a relay said. The list may still differ afterwards; then the next request names what is known. */
     void apply(const DomainSummary&, TimePoint now);
     /**
-     * Adds domains, members of @p own that are not known and members of domains that no relay has confirmed yet. Drops
+     * Adds domains, and members of domains that no relay has confirmed yet or of which this instance is a relay. Drops
      * domains that are gone for good.
      */
-    void applyPlatformList(const std::vector<PlatformInstance>&, const FailureDomainId& own, TimePoint now);
+    void applyPlatformList(
+        const std::vector<PlatformInstance>&, const std::optional<FailureDomainId>& relayedDomain, TimePoint now);
     bool hasPlatformList() const noexcept { return m_hasPlatformList; }
 
     const std::map<FailureDomainId, Domain>& domains() const noexcept { return m_domains; }
@@ -79,7 +80,7 @@
     // second.
     static constexpr std::size_t s_historyLimit = 256;
     // The platform's list names a dead instance for some time; it must not bring the instance back.
-    static constexpr Duration s_removalMemory = std::chrono::seconds { 60 };
+    static constexpr Duration s_removalMemory = std::chrono::minutes { 10 };
 
     struct HistoryEntry {
         std::uint64_t hashBefore = 0; // Of all domains.
@@ -92,7 +93,7 @@
     void record(const FailureDomainId&, const Domain&, const InstanceId& member);
     void setVersion(const FailureDomainId&, Domain&, const ViewVersion&);
     void erase(const FailureDomainId&, Domain&, const InstanceId&);
-    void addListed(const PlatformInstance&, const FailureDomainId& own);
+    void addListed(const PlatformInstance&, const std::optional<FailureDomainId>& relayedDomain);
     void forgetAbsentDomains(const std::set<FailureDomainId>& listed, TimePoint now);
     DomainSummary summarise(const FailureDomainId&, std::size_t firstEntry) const;
 
--- a/libs/membership/include/membership/MemberAgent.h
+++ b/libs/membership/include/membership/MemberAgent.h
@@ -71,6 +71,7 @@
     };
 
     void updateSilence(TimePoint now);
+    void introduce(TimePoint now, std::vector<Send>&);
     void addSend(const InstanceId& relay, bool wantsView, TimePoint now, std::vector<Send>&);
     Heartbeat makeHeartbeat(Relay&, bool wantsView, TimePoint now);
     void takeView(Relay&, const HeartbeatReply&, TimePoint now);
@@ -90,6 +91,7 @@
     ConfigurationVersion m_lowest = 0;
     bool m_saidReachable = false;
     TimePoint m_next;
+    std::optional<TimePoint> m_introduced; // Start of the introduction.
 };
 
 }
--- a/libs/membership/include/membership/MembershipSettings.h
+++ b/libs/membership/include/membership/MembershipSettings.h
@@ -4,6 +4,7 @@
 
 #include "base/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace peridot {
@@ -15,6 +16,10 @@
     Duration relaySilence = std::chrono::milliseconds { 1100 };
     // A relay that was passed over is asked again after this time.
     Duration relayRetry = std::chrono::seconds { 3 };
+    // A new instance knows its domain by the platform's lagging list only. It asks more members at first, so that it
+    // meets the relays even if it outranks them.
+    Duration introduction = std::chrono::seconds { 3 };
+    std::size_t introductionMembers = 6;
     Duration memberSilence = std::chrono::seconds { 2 };
     // Loads of all domains are told in every n-th reply to a member.
     std::uint32_t loadsEvery = 4;
--- a/libs/membership/include/membership/Messages.h
+++ b/libs/membership/include/membership/Messages.h
@@ -144,7 +144,9 @@
     std::uint64_t sequence = 0;
     ConfigurationVersion highestVersion = 0;
     bool isStoreReachable = false; // By a member of the sender's domain.
-    std::vector<KnownView> known; // Of the receiver's domain.
+    // Of the receiver's domain, which the answer brings up to date, and of the sender's, so that the receiver knows
+    // when to pull.
+    std::vector<KnownView> known;
 };
 
 struct Digest {
--- a/libs/membership/include/membership/RelayAgent.h
+++ b/libs/membership/include/membership/RelayAgent.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -65,12 +66,21 @@
         TimePoint sent;
         ConfigurationVersion highest = 0;
         bool saidReachable = false;
+        InstanceId probed; // Set if the pull only asks whether this removed member is back.
+    };
+
+    /** A removed member. It may have been cut off with relays of its own, which then do not know this one either. */
+    struct Lost {
+        MemberInfo info;
+        TimePoint since;
+        TimePoint nextProbe;
     };
 
     /** The relay that is pulled in another domain, or the fellow relay in the own one. */
     struct Peer {
         InstanceId target;
         std::optional<TimePoint> unansweredSince;
+        TimePoint lastPull;
         std::optional<TimePoint> lastAnswer; // Of any target in this domain.
         std::uint64_t answered = 0;
         std::map<InstanceId, TimePoint> passedOver; // Targets that did not answer, and since when.
@@ -83,7 +93,16 @@
     void updateOwnReport(TimePoint now);
     void pullAll(const SilentRelays&, TimePoint now, std::vector<Send>&);
     InstanceId chooseTarget(const FailureDomainId&, Peer&, const SilentRelays&, TimePoint now) const;
-    void pull(const FailureDomainId&, const MemberInfo& target, TimePoint now, std::vector<Send>&);
+    void pull(const FailureDomainId&, const MemberInfo& target, bool isProbe, TimePoint now, std::vector<Send>&);
+    void pullChanged(TimePoint now, std::vector<Send>&);
+    /** While the own domain cannot reach the store: asks again for attestations that are getting old. */
+    void refreshAttestations(TimePoint now);
+    void probeLost(TimePoint now, std::vector<Send>&);
+    /** Pulls from the sender from now on if the relay that is pulled does not answer. */
+    void followTakeover(const DigestPull&, TimePoint now);
+    void meetFellow(const DigestPull&, const std::string& address, TimePoint now);
+    /** Pulls soon, at most ten times per second. */
+    void hurry(TimePoint now) noexcept;
     void recordHeartbeat(const Heartbeat&, TimePoint now);
     std::vector<DomainSummary> viewFor(const Heartbeat&, TimePoint now) const;
     bool isOwnDomainReachable() const;
@@ -95,7 +114,7 @@
     /** The oldest attestation, if those of all domains are recent and none reaches the store. */
     std::optional<TimePoint> storeUnavailableAsOf(TimePoint now) const;
     void concludeStoreState(TimePoint now);
-    void updateReachability();
+    void updateReachability(TimePoint now);
 
     MembershipSettings m_settings;
     const MemberInfo& m_self;
@@ -109,9 +128,13 @@
     std::map<InstanceId, Member> m_members; // Of the own domain, by their heartbeats.
     std::map<FailureDomainId, Peer> m_peers;
     std::map<std::uint64_t, OpenPull> m_open;
+    std::map<InstanceId, Lost> m_lost;
+    std::set<FailureDomainId> m_changed; // Other domains that have told of a new list.
     std::map<InstanceId, TimePoint> m_heardReachable; // Relays of other domains whose last pull said "reachable".
     std::uint64_t m_nextSequence = 1;
     TimePoint m_nextPulls;
+    TimePoint m_lastPulls;
+    ViewVersion m_toldVersion; // Of the own domain, with the last pulls.
     ConfigurationVersion m_highest = 0;
     ConfigurationVersion m_witnessedVersion = 0;
     std::optional<TimePoint> m_reachabilityWitnessed; // Send time of the newest answered pull that said "reachable".
--- a/libs/membership/src/LiveView.cpp
+++ b/libs/membership/src/LiveView.cpp
@@ -155,7 +155,7 @@
 }
 
 void LiveView::applyPlatformList(
-    const std::vector<PlatformInstance>& instances, const FailureDomainId& own, TimePoint now)
+    const std::vector<PlatformInstance>& instances, const std::optional<FailureDomainId>& relayedDomain, TimePoint now)
 {
     std::erase_if(m_removed, [&](const auto& item) { return now - item.second > s_removalMemory; });
     std::set<FailureDomainId> listed;
@@ -163,18 +163,18 @@
         if (instance.kind != PlatformInstanceKind::Entry)
             continue;
         listed.insert(instance.failureDomain);
-        addListed(instance, own);
+        addListed(instance, relayedDomain);
     }
     forgetAbsentDomains(listed, now);
     m_hasPlatformList = true;
 }
 
-void LiveView::addListed(const PlatformInstance& instance, const FailureDomainId& own)
+void LiveView::addListed(const PlatformInstance& instance, const std::optional<FailureDomainId>& relayedDomain)
 {
     auto& target = domain(instance.failureDomain, instance.region);
     const InstanceId id(instance.name);
-    const bool isOwn = instance.failureDomain == own;
-    if ((target.isConfirmed && !isOwn) || target.members.contains(id) || m_removed.contains(id))
+    if ((target.isConfirmed && instance.failureDomain != relayedDomain) || target.members.contains(id)
+        || m_removed.contains(id))
         return;
     MemberInfo info;
     info.id = id;
--- a/libs/membership/src/MemberAgent.cpp
+++ b/libs/membership/src/MemberAgent.cpp
@@ -8,6 +8,10 @@
 
     // Answers that are later than this teach nothing: evidence lapses after 4 s.
     constexpr Duration longestOpen = std::chrono::seconds { 5 };
+    constexpr Duration shortestInterval = std::chrono::milliseconds { 150 };
+    // Evidence that is about to lapse is asked for more often, until it is clear that there is none.
+    constexpr Duration hurryAge = std::chrono::milliseconds { 2900 };
+    constexpr Duration hurryEnd = std::chrono::seconds { 5 };
 
 }
 
@@ -33,6 +37,8 @@
     std::uniform_int_distribution<Duration::rep> interval(
         m_settings.heartbeatInterval.count() * 9 / 10, m_settings.heartbeatInterval.count() * 11 / 10);
     m_next = now + Duration { interval(m_random) };
+    if (const auto time = m_evidence.time(); time && now - *time > hurryAge && now - *time < hurryEnd)
+        m_next = now + shortestInterval;
     m_saidReachable = m_contact.isReachable(now);
     const auto silent = silentRelays();
     m_current = relaysOf(m_view, m_self.failureDomain, silent);
@@ -40,6 +46,7 @@
         m_current = { m_self.id };
     for (std::size_t i = 0; i < m_current.size(); ++i)
         addSend(m_current[i], wantsView && i == 0, now, sends);
+    introduce(now, sends);
     for (const auto& [id, since] : silent) {
         if (auto& relay = m_relays[id]; now >= relay.nextRetry) {
             relay.nextRetry = now + m_settings.relayRetry;
@@ -49,6 +56,19 @@
     return sends;
 }
 
+void MemberAgent::introduce(TimePoint now, std::vector<Send>& sends)
+{
+    if (!m_introduced && m_view.hasPlatformList())
+        m_introduced = now;
+    if (!m_introduced || now - *m_introduced > m_settings.introduction)
+        return;
+    const auto ranked = rankMembers(m_view, m_self.failureDomain);
+    for (std::size_t i = 0; i < std::min(ranked.size(), m_settings.introductionMembers); ++i) {
+        if (std::find(m_current.begin(), m_current.end(), ranked[i]) == m_current.end() && ranked[i] != m_self.id)
+            addSend(ranked[i], false, now, sends);
+    }
+}
+
 void MemberAgent::addSend(const InstanceId& id, bool wantsView, TimePoint now, std::vector<Send>& sends)
 {
     const auto* domain = m_view.findDomain(m_self.failureDomain);
@@ -129,6 +149,9 @@
     if (reply.sequence < relay.answered)
         return;
     relay.answered = reply.sequence;
+    // The relay can use this member's statements once they echo a token.
+    if (relay.token == 0)
+        m_next = std::min(m_next, now + shortestInterval);
     relay.token = reply.token;
     relay.lastAnswer = now;
     relay.silentSince.reset();
--- a/libs/membership/src/Membership.cpp
+++ b/libs/membership/src/Membership.cpp
@@ -87,7 +87,7 @@
 
 void Membership::applyPlatformList(const std::vector<PlatformInstance>& instances, TimePoint now)
 {
-    m_view.applyPlatformList(instances, self().failureDomain, now);
+    m_view.applyPlatformList(instances, isRelay() ? std::optional(self().failureDomain) : std::nullopt, now);
 }
 
 void Membership::headRead(ConfigurationVersion version, TimePoint readStart, TimePoint now)
@@ -106,11 +106,10 @@
 
 void Membership::heard(ConfigurationVersion version)
 {
-    if (version <= highestVersion())
-        return;
+    if (version > m_member.highestVersion())
+        m_member.hurry(); // The relays are to know it, above all if this instance has written it.
     m_member.heard(version);
     m_relay.heard(version);
-    m_member.hurry();
 }
 
 ConfigurationVersion Membership::highestVersion() const noexcept
--- a/libs/membership/src/RelayAgent.cpp
+++ b/libs/membership/src/RelayAgent.cpp
@@ -10,6 +10,17 @@
     constexpr Duration longestOpen = std::chrono::seconds { 5 };
     // Longer than any message is late, so that a removed member is not revived by an old heartbeat.
     constexpr Duration memberMemory = std::chrono::seconds { 60 };
+    // A removed member that was cut off is met again within this time.
+    constexpr Duration probeInterval = std::chrono::seconds { 2 };
+    constexpr Duration probeFor = std::chrono::minutes { 70 };
+    constexpr Duration shortestPullInterval = std::chrono::milliseconds { 100 };
+    // Longer than a round trip between regions. A relay that has not answered for this time, while another one of its
+    // domain pulls, has probably been replaced.
+    constexpr Duration takeoverSilence = std::chrono::milliseconds { 400 };
+    // In an outage of the store, one lost or late attestation must not let the evidence of all lapse. An ordinary one
+    // is 0.5 to 1.5 s old: heartbeat interval of the echoed token, plus that of the fellow relay's pull.
+    constexpr Duration refreshAge = std::chrono::milliseconds { 1300 };
+    constexpr Duration refreshInterval = std::chrono::milliseconds { 150 };
     // Stands for "no statement".
     constexpr Duration noAge = std::chrono::hours { 1 };
 
@@ -37,13 +48,23 @@
         return sends;
     removeSilentMembers(silent, now);
     markSilentDomains(now);
-    updateReachability();
+    updateReachability(now);
     concludeStoreState(now);
+    // Others learn of a changed list by this relay's pull and then pull it at once.
+    if (m_view.known(m_self.failureDomain).version != m_toldVersion)
+        hurry(now);
     if (now >= m_nextPulls) {
+        m_lastPulls = now;
         m_nextPulls = now + m_settings.digestInterval;
+        m_toldVersion = m_view.known(m_self.failureDomain).version;
         updateOwnReport(now);
         pullAll(silent, now, sends);
+        probeLost(now, sends);
+    } else {
+        refreshAttestations(now);
+        pullChanged(now, sends);
     }
+    m_changed.clear();
     return sends;
 }
 
@@ -60,6 +81,7 @@
         LogLine("relay_role").add("self", m_self.id).add("domain", m_self.failureDomain).add("active", isRelay));
     m_peers.clear();
     m_isStoreUnavailable = false;
+    m_nextPulls = now;
     if (isRelay)
         m_activeSince = now;
     else
@@ -75,16 +97,18 @@
     for (const auto& [id, info] : own->members) {
         if (id == m_self.id)
             continue;
-        auto heard = std::max(*m_activeSince, m_resumed);
+        auto [it, isNew] = m_members.try_emplace(id);
+        if (isNew)
+            it->second.lastHeard = silent.contains(id) ? TimePoint {} : now; // Seen in a list only.
+        auto heard = std::max({ *m_activeSince, m_resumed, it->second.lastHeard });
         // A relay that does not answer has been silent for longer than this instance has been in its place.
-        if (const auto it = silent.find(id); it != silent.end())
-            heard = std::max(it->second, m_resumed);
-        if (const auto it = m_members.find(id); it != m_members.end())
-            heard = std::max(heard, it->second.lastHeard);
+        if (const auto relay = silent.find(id); relay != silent.end())
+            heard = std::max({ relay->second, m_resumed, it->second.lastHeard });
         if (now - heard > m_settings.memberSilence)
             gone.push_back(id);
     }
     for (const auto& id : gone) {
+        m_lost[id] = Lost { own->members.at(id), now, now + probeInterval };
         m_view.remove(m_self.failureDomain, id, now);
         m_log.write(LogLevel::Info, LogLine("member_removed").add("member", id).add("relay", m_self.id));
     }
@@ -148,7 +172,40 @@
             continue;
         if (!peer.unansweredSince)
             peer.unansweredSince = now;
-        pull(id, it->second, now, sends);
+        pull(id, it->second, false, now, sends);
+    }
+}
+
+void RelayAgent::pullChanged(TimePoint now, std::vector<Send>& sends)
+{
+    for (const auto& id : m_changed) {
+        const auto peer = m_peers.find(id);
+        const auto* domain = m_view.findDomain(id);
+        if (peer == m_peers.end() || !domain)
+            continue;
+        if (const auto it = domain->members.find(peer->second.target); it != domain->members.end())
+            pull(id, it->second, false, now, sends);
+    }
+}
+
+void RelayAgent::refreshAttestations(TimePoint now)
+{
+    if (isOwnDomainReachable())
+        return;
+    for (const auto& [id, peer] : m_peers) {
+        if (now - peer.lastPull >= refreshInterval && (!peer.attestation || now - peer.attestation->asOf >= refreshAge))
+            m_changed.insert(id);
+    }
+}
+
+void RelayAgent::probeLost(TimePoint now, std::vector<Send>& sends)
+{
+    std::erase_if(m_lost, [&](const auto& item) { return now - item.second.since > probeFor; });
+    for (auto& [id, lost] : m_lost) {
+        if (now < lost.nextProbe)
+            continue;
+        lost.nextProbe = now + probeInterval;
+        pull(m_self.failureDomain, lost.info, true, now, sends);
     }
 }
 
@@ -159,6 +216,9 @@
     if (!isOwn && peer.unansweredSince && now - *peer.unansweredSince >= m_settings.relaySilence)
         peer.passedOver[peer.target] = now;
     std::erase_if(peer.passedOver, [&](const auto& item) { return now - item.second > longestOpen; });
+    if (!isOwn && !peer.passedOver.empty() && !peer.passedOver.contains(peer.target)
+        && m_view.findDomain(id)->members.contains(peer.target))
+        return peer.target; // Chosen after others had failed; the ranks hold again once those are forgotten.
     auto relays = relaysOf(m_view, id, isOwn ? silent : peer.passedOver);
     if (relays.empty() && !isOwn) {
         peer.passedOver.clear();
@@ -169,7 +229,8 @@
     return relays.empty() ? InstanceId {} : relays[std::min(isOwn ? 0 : m_rank, relays.size() - 1)];
 }
 
-void RelayAgent::pull(const FailureDomainId& id, const MemberInfo& target, TimePoint now, std::vector<Send>& sends)
+void RelayAgent::pull(
+    const FailureDomainId& id, const MemberInfo& target, bool isProbe, TimePoint now, std::vector<Send>& sends)
 {
     DigestPull message;
     message.sender = m_self.id;
@@ -178,9 +239,13 @@
     message.sequence = m_nextSequence++;
     message.highestVersion = m_highest;
     message.isStoreReachable = isOwnDomainReachable();
-    if (id != m_self.failureDomain)
+    if (id != m_self.failureDomain) {
         message.known.push_back(m_view.known(id));
-    m_open.emplace(message.sequence, OpenPull { id, now, m_highest, message.isStoreReachable });
+        message.known.push_back(m_view.known(m_self.failureDomain));
+    }
+    m_peers[id].lastPull = now;
+    m_open.emplace(message.sequence,
+        OpenPull { id, now, m_highest, message.isStoreReachable, isProbe ? target.id : InstanceId {} });
     sends.push_back({ target.id, target.peerAddress, std::move(message) });
 }
 
@@ -216,6 +281,7 @@
     auto& member = m_members[message.sender.id];
     if (member.incarnation == message.sender.incarnation && message.sequence <= member.sequence)
         return; // Repeated or overtaken.
+    m_lost.erase(message.sender.id);
     member.incarnation = message.sender.incarnation;
     member.sequence = message.sequence;
     member.lastHeard = now;
@@ -231,11 +297,11 @@
     }
     if (message.highestVersion > m_highest) {
         m_highest = message.highestVersion;
-        m_nextPulls = now; // A writer may be waiting until other domains know its version.
+        hurry(now); // A writer may be waiting until other domains know its version.
     }
     if (m_activeSince)
         m_view.put(message.sender);
-    updateReachability();
+    updateReachability(now);
 }
 
 std::vector<DomainSummary> RelayAgent::viewFor(const Heartbeat& message, TimePoint now) const
@@ -287,6 +353,15 @@
         info.peerAddress = address;
         m_view.put(info);
     }
+    if (isFellow)
+        meetFellow(message, address, now);
+    for (const auto& item : message.known) {
+        if (item.failureDomain == message.failureDomain && !isFellow
+            && item.version.contentHash != m_view.known(item.failureDomain).version.contentHash)
+            m_changed.insert(item.failureDomain);
+    }
+    if (!isFellow)
+        followTakeover(message, now);
     const auto known = message.known.empty() ? m_view.known(m_self.failureDomain) : message.known.front();
     auto summary = m_view.changesSince(KnownView { m_self.failureDomain, known.version });
     const auto report = m_view.report(m_self.failureDomain, now);
@@ -306,6 +381,35 @@
     return digest;
 }
 
+void RelayAgent::followTakeover(const DigestPull& message, TimePoint now)
+{
+    const auto it = m_peers.find(message.failureDomain);
+    if (it == m_peers.end())
+        return;
+    auto& peer = it->second;
+    if (peer.target == message.sender || !peer.unansweredSince || now - *peer.unansweredSince < takeoverSilence)
+        return;
+    peer.passedOver[peer.target] = now;
+    peer.target = message.sender;
+    peer.unansweredSince.reset();
+    m_changed.insert(message.failureDomain);
+}
+
+void RelayAgent::meetFellow(const DigestPull& message, const std::string& address, TimePoint now)
+{
+    const auto* own = m_view.findDomain(m_self.failureDomain);
+    if (!m_activeSince || own->members.contains(message.sender))
+        return;
+    MemberInfo info;
+    info.id = message.sender;
+    info.region = m_self.region;
+    info.failureDomain = m_self.failureDomain;
+    info.peerAddress = address;
+    m_members[message.sender] = Member {};
+    m_members[message.sender].lastHeard = now;
+    m_view.put(info);
+}
+
 void RelayAgent::receive(const Digest& message, TimePoint now)
 {
     const auto open = m_open.find(message.sequence);
@@ -315,6 +419,15 @@
     m_open.erase(open);
     m_evidence.learn(message.evidence, pull.sent);
     m_highest = std::max(m_highest, message.highestVersion);
+    if (const auto lost = m_lost.find(pull.probed); lost != m_lost.end()) {
+        m_members[pull.probed] = Member {};
+        m_members[pull.probed].lastHeard = now;
+        if (m_activeSince)
+            m_view.put(lost->second.info);
+        m_lost.erase(lost);
+    }
+    if (!pull.probed.isEmpty())
+        return;
     const bool isFellow = pull.domain == m_self.failureDomain;
     if (!isFellow) {
         m_witnessedVersion = std::max(m_witnessedVersion, pull.highest);
@@ -346,15 +459,20 @@
     });
 }
 
-void RelayAgent::updateReachability()
+void RelayAgent::updateReachability(TimePoint now)
 {
     // Other domains wait for this news: the end of reachability starts storeUnavailable, its return ends it.
     if (const bool isReachable = isOwnDomainReachable(); isReachable != m_wasReachable) {
         m_wasReachable = isReachable;
-        m_nextPulls = TimePoint {};
+        hurry(now);
     }
 }
 
+void RelayAgent::hurry(TimePoint now) noexcept
+{
+    m_nextPulls = std::min(m_nextPulls, std::max(now, m_lastPulls + shortestPullInterval));
+}
+
 bool RelayAgent::isPeerReachable(TimePoint now) const
 {
     return std::any_of(m_heardReachable.begin(), m_heardReachable.end(),
