--- a/daemons/peridotd/src/ForwardedRequest.cpp
+++ b/daemons/peridotd/src/ForwardedRequest.cpp
@@ -49,6 +49,13 @@
         return response.status_code() == 503 && response.headers().has("X-Not-Run");
     }
 
+    /** A backend server that repeats the request id must repeat the one of this request. */
+    bool isResponseTo(const http::http_response& response, const RequestId& id)
+    {
+        const auto it = response.headers().find("X-Request-Id");
+        return it == response.headers().end() || it->second == id.value();
+    }
+
     Duration retryAfter(const http::http_headers& headers)
     {
         std::uint64_t seconds = 0;
@@ -343,6 +350,15 @@
 
 void ForwardedRequest::headArrived(const AttemptPointer& attempt, const http::http_response& response)
 {
+    if (!isResponseTo(response, m_head.id)) {
+        m_context.log.write(LogLevel::Error,
+            LogLine("response_of_other_request")
+                .add("request", m_head.id)
+                .add("backend_server", attempt->backendServer));
+        attempt->cancellation.cancel();
+        failed(attempt, DispatchOutcomeKind::Failed);
+        return;
+    }
     if (isShed(response)) {
         failed(attempt, DispatchOutcomeKind::Shed, retryAfter(response.headers()));
         return;
