--- /dev/null
+++ b/tools/peridot-backend/WallTime.h
@@ -0,0 +1,22 @@
+// The clocks of the process.
+
+#pragma once
+
+#include "base/Time.h"
+
+#include <chrono>
+
+namespace peridot {
+
+inline TimePoint monotonicTime()
+{
+    return TimePoint { std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()) };
+}
+
+inline std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+}
--- a/tools/peridot-platform/Platform.cpp
+++ b/tools/peridot-platform/Platform.cpp
@@ -50,6 +50,9 @@
 {
     for (const auto* name : typeNames)
         m_counts[name] = {};
+    m_store.apply(TableCommit { {}, settings.initialRows });
+    for (const auto& object : settings.initialObjects)
+        m_store.apply(object);
 }
 
 Admission Platform::admit(const StoreRequest& request, const std::string& caller, TimePoint now)
--- a/tools/peridot-platform/PlatformSettings.cpp
+++ b/tools/peridot-platform/PlatformSettings.cpp
@@ -4,13 +4,38 @@
 
 #include "store/StoreJson.h"
 
+#include <filesystem>
+#include <fstream>
 #include <set>
+#include <sstream>
 
 namespace peridot {
 
 namespace {
 
-    PlatformSettings readMembers(JsonReader& reader)
+    std::string readObjectFile(JsonReader& reader, const std::filesystem::path& directory)
+    {
+        std::ifstream file(directory / reader.string("file"), std::ios::binary);
+        if (!file)
+            reader.fail("file", "a readable file");
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+
+    void readInitialContent(JsonReader& reader, const std::filesystem::path& directory, PlatformSettings& settings)
+    {
+        reader.objects("initial_rows", false, [&settings](JsonReader& item) {
+            auto key = item.string("key");
+            settings.initialRows.push_back({ std::move(key), item.string("value") });
+        });
+        reader.objects("initial_objects", false, [&](JsonReader& item) {
+            auto key = item.string("key");
+            settings.initialObjects.push_back({ std::move(key), readObjectFile(item, directory) });
+        });
+    }
+
+    PlatformSettings readMembers(JsonReader& reader, const std::filesystem::path& directory)
     {
         PlatformSettings settings;
         settings.deployment = DeploymentId { reader.string("deployment") };
@@ -20,6 +45,7 @@
         settings.listLag
             = reader.milliseconds("list_lag_ms", Duration { 0 }, std::chrono::minutes { 10 }, settings.listLag);
         settings.randomSeed = static_cast<std::uint64_t>(reader.integer("random_seed", 0, INT64_MAX, 1));
+        readInitialContent(reader, directory, settings);
         std::set<std::string> names;
         std::set<std::string> addresses;
         reader.objects("instances", true, [&](JsonReader& item) {
@@ -39,7 +65,9 @@
 
 Result<PlatformSettings> parsePlatformSettings(const nlohmann::json& document, const std::string& source)
 {
-    return readSettings<PlatformSettings>(document, source, readMembers);
+    const auto directory = std::filesystem::path(source).parent_path();
+    return readSettings<PlatformSettings>(
+        document, source, [&directory](JsonReader& reader) { return readMembers(reader, directory); });
 }
 
 Result<PlatformSettings> readPlatformSettings(const std::string& path)
--- a/tools/peridot-platform/PlatformSettings.h
+++ b/tools/peridot-platform/PlatformSettings.h
@@ -19,6 +19,8 @@
     Duration listLag = std::chrono::seconds { 1 };
     std::uint64_t randomSeed = 1; // Decides which answers are lost.
     std::vector<PlatformInstance> instances; // The list at the start.
+    std::vector<TableWrite> initialRows;
+    std::vector<ObjectPut> initialObjects; // Read from files beside the settings file.
 };
 
 Result<PlatformSettings> readPlatformSettings(const std::string& path);
