--- a/daemons/peridotd/src/Daemon.cpp
+++ b/daemons/peridotd/src/Daemon.cpp
@@ -48,7 +48,8 @@
 class Daemon::Implementation {
 public:
     Implementation(const DaemonSettings& settings, EventLog& log)
-        : m_driver(settings.node, log)
+        : m_log(log)
+        , m_driver(settings.node, log)
         , m_probe(m_driver, m_clients)
         , m_store(std::make_unique<HttpStoreClient>(
               HttpStoreClientSettings { settings.platformAddress, settings.node.self.id.value() }))
@@ -95,10 +96,15 @@
     {
         m_store->call(action.request, action.timeout, [this, id = action.id](const StoreResult& result) {
             m_statistics.countStoreCall(result.has_value());
+            if (!result) {
+                m_log.write(LogLevel::Warning,
+                    LogLine("store_call_failed").add("id", id).add("error", result.error().describe()));
+            }
             m_driver.storeCompleted(id, result);
         });
     }
 
+    EventLog& m_log;
     NodeDriver m_driver;
     BackendClients m_clients;
     RequestStatistics m_statistics;
