budget: keep the scan of the shares within the platform's limit

The platform refuses scans beyond 10,000 rows as malformed, so no share was ever read through the HTTP client and every keyed request was refused with rate_exceeded. The in-memory store takes any limit. Seen with four instances against peridot-platform: 218 failed store calls in 40 s, all with "limit: found 100000".

--- a/libs/budget/src/ShareTable.cpp
+++ b/libs/budget/src/ShareTable.cpp
@@ -27,7 +27,7 @@
     constexpr Duration needLifetime = std::chrono::seconds { 5 };
     /** Part of the rate below which a difference is not worth a write. */
     constexpr int smallestMoveDivisor = 50;
-    constexpr std::uint32_t scanLimit = 100'000;
+    constexpr std::uint32_t scanLimit = 10'000;
 
     BudgetKey budgetKey(const WorkspaceId& workspace) { return { BudgetKind::WorkspaceRate, workspace.value() }; }
 
