--- a/libs/budget/include/budget/LedgerLease.h
+++ b/libs/budget/include/budget/LedgerLease.h
@@ -97,7 +97,7 @@
 
     std::optional<StoreRequest> read();
     std::optional<StoreRequest> write(Purpose, TimePoint now);
-    bool mayAcquire(TimePoint now) const noexcept;
+    TimePoint acquirableFrom() const noexcept;
     void takeRow(const TableRow&, TimePoint now);
     void takeRead(const TableRows&, TimePoint now);
     void takeCommit(const CommitResult&, TimePoint now);
--- a/libs/budget/src/LedgerBucket.cpp
+++ b/libs/budget/src/LedgerBucket.cpp
@@ -142,23 +142,35 @@
 
 void LedgerBucket::advance(TimePoint now)
 {
-    if (now > m_refilledTo) {
-        // Refill comes first: it is limited by the units that were outstanding all along.
-        const auto room = (m_share.burst - m_outstanding) * s_nanoPerUnit - m_nanoTokens;
-        addTokens(refillBetween(m_refilledTo, now, room));
-        m_refilledTo = now;
-    }
     while (!m_lots.empty() && m_lots.front().expiry <= now) {
+        refillTo(m_lots.front().expiry);
         m_outstanding -= m_lots.front().units;
         m_lots.pop_front();
         ++m_firstLot;
     }
+    refillTo(now);
     settle();
 }
 
+/** Refills up to the burst share less the units that were outstanding in that time. */
+void LedgerBucket::refillTo(TimePoint time)
+{
+    if (time <= m_refilledTo)
+        return;
+    const auto room = (m_share.burst - m_outstanding) * s_nanoPerUnit - m_nanoTokens;
+    const auto amount = refillBetween(m_refilledTo, time, room);
+    addTokens(amount);
+    m_refilledTo = time;
+    if (m_totalWanted > 0)
+        m_entitlement += static_cast<double>(amount) / s_nanoPerUnit / static_cast<double>(m_totalWanted);
+}
+
 bool LedgerBucket::report(const InstanceId& id, std::uint64_t sequence, const BudgetDemandItem& item, TimePoint now)
 {
-    auto& holder = m_holders[id];
+    const auto [it, isNew] = m_holders.try_emplace(id);
+    auto& holder = it->second;
+    if (isNew)
+        holder.entitlement = m_entitlement;
     if (holder.hasReported && sequence <= holder.sequence)
         return false;
     holder.sequence = sequence;
@@ -178,15 +190,15 @@
     Units before = 0;
     Units left = std::max<Units>(0, item.held);
     std::vector<std::uint64_t> kept;
-    for (auto it = holder.lots.rbegin(); it != holder.lots.rend() && *it >= m_firstLot; ++it) {
-        auto& lot = m_lots[static_cast<std::size_t>(*it - m_firstLot)];
+    for (auto number = holder.lots.rbegin(); number != holder.lots.rend() && *number >= m_firstLot; ++number) {
+        auto& lot = m_lots[static_cast<std::size_t>(*number - m_firstLot)];
         before += lot.units;
         const auto units = std::min(lot.units, left);
         m_outstanding -= lot.units - units;
         lot.units = units;
         left -= units;
         if (units > 0)
-            kept.push_back(*it);
+            kept.push_back(*number);
     }
     holder.lots.assign(kept.rbegin(), kept.rend());
     // Units that were outstanding and neither spent nor held can't be spent any more. Spent units may belong to lots
@@ -202,15 +214,21 @@
 Units LedgerBucket::allowance(HolderEntry& holder, Units wanted)
 {
     const auto available = m_nanoTokens / s_nanoPerUnit;
+    const auto entitled = static_cast<double>(wanted) * (m_entitlement - holder.entitlement);
+    holder.credit = std::min(holder.credit + entitled, static_cast<double>(wanted));
+    holder.entitlement = m_entitlement;
     if (m_totalWanted <= available) {
         holder.credit = 0;
         return wanted;
     }
-    const auto part = static_cast<double>(wanted) / static_cast<double>(std::max<Units>(m_totalWanted, 1));
-    holder.credit = std::min(holder.credit + static_cast<double>(available) * part, static_cast<double>(wanted));
-    // A holder with any credit gets a whole unit, and waits in turn for the next one.
-    const auto units = holder.credit > 0 ? std::max<Units>(1, static_cast<Units>(holder.credit)) : 0;
-    return std::min({ units, wanted, available });
+    // What was saved up is split in proportion. Of what comes in, a holder with any credit gets a whole unit, and then
+    // waits until the others have had theirs; the order in which holders ask does not matter.
+    const auto saved = static_cast<Units>(
+        static_cast<double>(available) * static_cast<double>(wanted) / static_cast<double>(m_totalWanted));
+    const auto due = holder.credit > 0 ? std::max<Units>(1, static_cast<Units>(holder.credit)) : 0;
+    const auto units = std::min({ std::max(saved, due), wanted, available });
+    holder.credit = std::max(holder.credit - static_cast<double>(units), -1.0);
+    return units;
 }
 
 BudgetGrantItem LedgerBucket::grant(const InstanceId& id, const BudgetDemandItem& item, TimePoint now)
@@ -227,7 +245,6 @@
     result.validity = unitLifetime;
     result.granted = wanted > 0 ? allowance(holder, wanted) : 0;
     if (result.granted > 0) {
-        holder.credit -= static_cast<double>(result.granted);
         m_nanoTokens -= result.granted * s_nanoPerUnit;
         m_outstanding += result.granted;
         holder.lots.push_back(m_firstLot + m_lots.size());
--- a/libs/budget/src/LedgerBucket.h
+++ b/libs/budget/src/LedgerBucket.h
@@ -49,7 +49,7 @@
     void reset(TimePoint refillFrom);
     /** Takes over a balance from a previous ledger. */
     void restore(NanoUnits tokens, Units outstanding, TimePoint expiry);
-    /** Refills, then drops outstanding units that have expired. */
+    /** Refills and drops outstanding units that have expired. */
     void advance(TimePoint now);
 
     /**
@@ -82,10 +82,12 @@
         Units refusedTotal = 0;
         Units wanted = 0;
         TimePoint lastDemand {};
+        double entitlement = 0; // m_entitlement at the last demand.
         double credit = 0; // Units due to this holder while there is less than all want; may be one unit ahead.
     };
 
     NanoUnits refillBetween(TimePoint from, TimePoint to, NanoUnits room) const noexcept;
+    void refillTo(TimePoint);
     void addTokens(NanoUnits);
     void settle();
     Units allowance(HolderEntry&, Units wanted);
@@ -108,6 +110,7 @@
     std::uint64_t m_firstLot = 0;
     std::map<InstanceId, HolderEntry> m_holders;
     Units m_totalWanted = 0; // Sum of wanted over m_holders.
+    double m_entitlement = 0; // Units refilled for each unit wanted, since the bucket was created.
     TimePoint m_nextSweep {};
 
     SlidingRate m_spent;
--- a/libs/budget/src/LedgerLease.cpp
+++ b/libs/budget/src/LedgerLease.cpp
@@ -81,20 +81,20 @@
         return inputs.mayWrite ? write(Purpose::Renew, now) : std::nullopt;
     if (!inputs.isCandidate)
         return std::nullopt;
-    if (inputs.mayWrite && mayAcquire(now))
+    if (inputs.mayWrite && now >= acquirableFrom())
         return write(Purpose::Acquire, now);
     return read();
 }
 
-/** True if the row as last read names no holder, or one whose lease must have lapsed. */
-bool LedgerLease::mayAcquire(TimePoint now) const noexcept
+/** From when on the row as last read may be taken: at once if it names no holder, else when its lease has lapsed. */
+TimePoint LedgerLease::acquirableFrom() const noexcept
 {
     if (!m_isRowKnown || !m_isRowReadable)
-        return false;
+        return TimePoint::max();
     if (m_row.holder.isEmpty())
-        return true;
+        return TimePoint::min();
     const auto since = std::max(m_rowSeenSince, m_mayWriteSince);
-    return since <= now && now - since >= withDrift(leaseLifetime);
+    return since == TimePoint::max() ? since : since + withDrift(leaseLifetime);
 }
 
 std::optional<StoreRequest> LedgerLease::read()
@@ -164,11 +164,9 @@
 {
     const auto expected = m_rowVersion;
     takeRow(rows.rows.empty() ? TableRow {} : rows.rows.front(), now);
-    m_nextStep = now + readInterval;
+    m_nextStep = std::min(now + readInterval, std::max(now, acquirableFrom()));
     if (std::exchange(m_isResolving, false))
         resolve(expected, now);
-    else if (mayAcquire(now))
-        m_nextStep = now;
 }
 
 void LedgerLease::takeCommit(const CommitResult& result, TimePoint now)
@@ -212,8 +210,12 @@
     }
     m_nextStep = m_writeBegan + leaseRenewInterval;
     if (m_purpose == Purpose::Renew) {
-        if (now >= m_leaseEnd)
+        if (now >= m_leaseEnd) {
+            // The caller may have dropped the ledger's state when the lease lapsed, so its units have to expire.
             ++m_term;
+            m_grantsFrom = std::max(m_grantsFrom, now + withDrift(unitLifetime));
+            m_inheritedSnapshot.clear();
+        }
         m_leaseEnd = std::max(m_leaseEnd, leaseEnd);
         return;
     }
--- a/peridot/src/BudgetHolders.h
+++ b/peridot/src/BudgetHolders.h
@@ -14,7 +14,8 @@
 /** Thread-safe; the set of regions is fixed. */
 class BudgetHolders {
 public:
-    BudgetHolders(const InstanceId& self, std::uint64_t incarnation, const std::vector<RegionId>& regions, EventLog& log)
+    BudgetHolders(
+        const InstanceId& self, std::uint64_t incarnation, const std::vector<RegionId>& regions, EventLog& log)
     {
         for (const auto& region : regions)
             m_holders.emplace(region, std::make_unique<BudgetHolder>(self, incarnation, region, log));
--- a/peridot/src/ControlPlane.cpp
+++ b/peridot/src/ControlPlane.cpp
@@ -13,50 +13,54 @@
 
 namespace {
 
-constexpr Duration listInterval = std::chrono::milliseconds { 500 };
-constexpr Duration listTimeout = std::chrono::seconds { 2 };
-constexpr Duration loadInterval = std::chrono::milliseconds { 250 };
-// A new version is in force here within one heartbeat as a rule; flipping the state for it would send two view changes
-// to all members with each change of the configuration.
-constexpr Duration unreadyDelay = std::chrono::seconds { 1 };
-
-std::uint64_t seedOf(const NodeSettings& settings) noexcept
-{
-    return settings.randomSeed ^ settings.self.incarnation;
-}
+    constexpr Duration listInterval = std::chrono::milliseconds { 500 };
+    constexpr Duration listTimeout = std::chrono::seconds { 2 };
+    constexpr Duration loadInterval = std::chrono::milliseconds { 250 };
+    // A new version is in force here within one heartbeat as a rule; flipping the state for it would send two view
+    // changes to all members with each change of the configuration.
+    constexpr Duration unreadyDelay = std::chrono::seconds { 1 };
+
+    std::uint64_t seedOf(const NodeSettings& settings) noexcept
+    {
+        return settings.randomSeed ^ settings.self.incarnation;
+    }
 
-struct OperatorOutcome {
-    std::uint16_t status = 200;
-    nlohmann::json body;
-};
+    struct OperatorOutcome {
+        std::uint16_t status = 200;
+        nlohmann::json body;
+    };
 
-struct ChangeResultVisitor {
-    OperatorOutcome operator()(const ChangeAccepted& accepted) const { return { 200, { { "version", accepted.version } } }; }
+    struct ChangeResultVisitor {
+        OperatorOutcome operator()(const ChangeAccepted& accepted) const
+        {
+            return { 200, { { "version", accepted.version } } };
+        }
 
-    OperatorOutcome operator()(const ChangeConflict& conflict) const
-    {
-        return { 409,
-            { { "code", "conflict" }, { "field", conflict.field }, { "version", conflict.version },
-                { "operator", conflict.changeId.substr(0, conflict.changeId.find(':')) },
-                { "change", conflict.changeId },
-                { "message", "field " + conflict.field + " was changed in version " + std::to_string(conflict.version) } } };
-    }
+        OperatorOutcome operator()(const ChangeConflict& conflict) const
+        {
+            return { 409,
+                { { "code", "conflict" }, { "field", conflict.field }, { "version", conflict.version },
+                    { "operator", conflict.changeId.substr(0, conflict.changeId.find(':')) },
+                    { "change", conflict.changeId },
+                    { "message",
+                        "field " + conflict.field + " was changed in version " + std::to_string(conflict.version) } } };
+        }
 
-    OperatorOutcome operator()(const ChangeInvalid& invalid) const
-    {
-        return { 400, { { "code", "invalid_change" }, { "message", invalid.reason } } };
-    }
+        OperatorOutcome operator()(const ChangeInvalid& invalid) const
+        {
+            return { 400, { { "code", "invalid_change" }, { "message", invalid.reason } } };
+        }
 
-    OperatorOutcome operator()(const ChangeUnavailable& unavailable) const
-    {
-        return { 503, { { "code", "unavailable" }, { "applied", "no" }, { "message", unavailable.reason } } };
-    }
+        OperatorOutcome operator()(const ChangeUnavailable& unavailable) const
+        {
+            return { 503, { { "code", "unavailable" }, { "applied", "no" }, { "message", unavailable.reason } } };
+        }
 
-    OperatorOutcome operator()(const ChangeUnknown& unknown) const
-    {
-        return { 503, { { "code", "outcome_unknown" }, { "applied", "unknown" }, { "message", unknown.reason } } };
-    }
-};
+        OperatorOutcome operator()(const ChangeUnknown& unknown) const
+        {
+            return { 503, { { "code", "outcome_unknown" }, { "applied", "unknown" }, { "message", unknown.reason } } };
+        }
+    };
 
 }
 
@@ -75,9 +79,9 @@
     , m_membership(MembershipSettings {}, settings.self, seedOf(settings), log)
     , m_reader(ConfigurationReaderSettings {}, log)
     , m_writer(ConfigurationWriterSettings {},
-          WritePermission {
-              [this](TimePoint now) { return m_membership.evidence().mayWrite(now); },
-              [this](ConfigurationVersion version, TimePoint now) { return m_membership.isKnownToPeers(version, now); } },
+          WritePermission { [this](TimePoint now) { return m_membership.evidence().mayWrite(now); },
+              [this](
+                  ConfigurationVersion version, TimePoint now) { return m_membership.isKnownToPeers(version, now); } },
           log)
     , m_ledger(settings, m_membership, calls, log)
     , m_published(std::make_shared<ServingView>())
@@ -118,8 +122,7 @@
 
         void membership(const MembershipMessage& message)
         {
-            self.send(
-                self.m_membership.receive(envelope.sender, envelope.senderAddress, message, now), actions);
+            self.send(self.m_membership.receive(envelope.sender, envelope.senderAddress, message, now), actions);
         }
         void operator()(const Heartbeat& message) { membership(message); }
         void operator()(const HeartbeatReply& message) { membership(message); }
@@ -194,8 +197,8 @@
 void ControlPlane::take(ConfigurationReader::Output output, TimePoint now, Actions& actions)
 {
     for (auto& call : output.calls) {
-        actions.emplace_back(m_calls.add(
-            StoreCaller::ConfigurationReader, call.id, std::move(call.request), call.timeout, now));
+        actions.emplace_back(
+            m_calls.add(StoreCaller::ConfigurationReader, call.id, std::move(call.request), call.timeout, now));
     }
     for (auto& pull : output.pulls) {
         if (const auto* member = m_membership.view().find(pull.to))
@@ -210,16 +213,15 @@
 void ControlPlane::take(ConfigurationWriter::Output output, TimePoint now, Actions& actions)
 {
     for (auto& call : output.calls) {
-        actions.emplace_back(m_calls.add(
-            StoreCaller::ConfigurationWriter, call.id, std::move(call.request), call.timeout, now));
+        actions.emplace_back(
+            m_calls.add(StoreCaller::ConfigurationWriter, call.id, std::move(call.request), call.timeout, now));
     }
     for (const auto& outcome : output.outcomes) {
         auto [status, body] = std::visit(ChangeResultVisitor {}, outcome.result);
         m_log.write(LogLevel::Info,
             LogLine("operator_change").add("change", outcome.id).add("status", status).add("result", body.dump()));
         auto waiting = m_answerTo.extract(outcome.id);
-        actions.emplace_back(
-            AnswerOperator { waiting.empty() ? outcome.id : waiting.mapped(), status, body.dump() });
+        actions.emplace_back(AnswerOperator { waiting.empty() ? outcome.id : waiting.mapped(), status, body.dump() });
     }
     if (auto newest = m_writer.newest(); newest && newest->version() > m_membership.highestVersion())
         m_membership.heard(newest->version());
@@ -428,8 +430,8 @@
     if (m_isLeaving)
         return;
     const auto configuration = m_reader.inForce();
-    const bool isReady = configuration && m_membership.evidence().isFresh(now)
-        && configuration->version() >= m_reader.highestHeard();
+    const bool isReady
+        = configuration && m_membership.evidence().isFresh(now) && configuration->version() >= m_reader.highestHeard();
     auto state = InstanceState::Ready;
     if (isReady) {
         m_unreadySince.reset();
--- a/peridot/src/Node.cpp
+++ b/peridot/src/Node.cpp
@@ -20,46 +20,43 @@
 
 namespace {
 
-// From the start of leaving until no instance lists this one any more: heartbeat, relay, digest and member take at most
-// one interval of 500 ms each.
-constexpr Duration leaveNoticeTime = std::chrono::seconds { 2 };
-// A planned stop doesn't wait longer for a store that takes no handover; the next ledger then waits for the lease.
-constexpr Duration longestHandover = std::chrono::seconds { 5 };
-// Clients without a block of their own share a seed with their neighbours.
-constexpr unsigned neighbourPrefixV4 = 24;
-constexpr unsigned neighbourPrefixV6 = 48;
-
-std::uint64_t hashOf(const std::string& text) noexcept
-{
-    return XXH3_64bits(text.data(), text.size());
-}
-
-std::vector<SiteId> sitesOf(const std::vector<RegionId>& regions)
-{
-    std::vector<SiteId> sites;
-    for (const auto& region : regions)
-        sites.emplace_back(region.value());
-    return sites;
-}
+    // From the start of leaving until no instance lists this one any more: heartbeat, relay, digest and member take at
+    // most one interval of 500 ms each.
+    constexpr Duration leaveNoticeTime = std::chrono::seconds { 2 };
+    // A planned stop doesn't wait longer for a store that takes no handover; the next ledger then waits for the lease.
+    constexpr Duration longestHandover = std::chrono::seconds { 5 };
+    // Clients without a block of their own share a seed with their neighbours.
+    constexpr unsigned neighbourPrefixV4 = 24;
+    constexpr unsigned neighbourPrefixV6 = 48;
+
+    std::uint64_t hashOf(const std::string& text) noexcept { return XXH3_64bits(text.data(), text.size()); }
+
+    std::vector<SiteId> sitesOf(const std::vector<RegionId>& regions)
+    {
+        std::vector<SiteId> sites;
+        for (const auto& region : regions)
+            sites.emplace_back(region.value());
+        return sites;
+    }
 
-BlockDelta blocksOf(const NodeSettings& settings)
-{
-    BlockDelta delta;
-    for (const auto& [text, regions] : settings.clientBlocks) {
-        auto block = ClientBlock::parse(text);
-        if (!block)
-            throw std::invalid_argument(block.error().describe());
-        BlockChange change { *block, {} };
-        for (const auto& region : regions) {
-            auto it = std::find(settings.regions.begin(), settings.regions.end(), region);
-            if (it == settings.regions.end())
-                throw std::invalid_argument("client block " + text + " names unknown region " + region.value());
-            change.sites.push_back(static_cast<SiteIndex>(it - settings.regions.begin()));
+    BlockDelta blocksOf(const NodeSettings& settings)
+    {
+        BlockDelta delta;
+        for (const auto& [text, regions] : settings.clientBlocks) {
+            auto block = ClientBlock::parse(text);
+            if (!block)
+                throw std::invalid_argument(block.error().describe());
+            BlockChange change { *block, {} };
+            for (const auto& region : regions) {
+                auto it = std::find(settings.regions.begin(), settings.regions.end(), region);
+                if (it == settings.regions.end())
+                    throw std::invalid_argument("client block " + text + " names unknown region " + region.value());
+                change.sites.push_back(static_cast<SiteIndex>(it - settings.regions.begin()));
+            }
+            delta.changes.push_back(std::move(change));
         }
-        delta.changes.push_back(std::move(change));
+        return delta;
     }
-    return delta;
-}
 
 }
 
@@ -228,9 +225,9 @@
             && now - *m_leftAt < m_settings.lookupTimeToLive + leaveNoticeTime + longestHandover)
             return false;
         const auto view = m_control.view().load();
-        return m_admission.isIdle()
-            && std::all_of(
-                view->routers.begin(), view->routers.end(), [](const auto& it) { return it.second->isIdle(); });
+        return m_admission.isIdle() && std::all_of(view->routers.begin(), view->routers.end(), [](const auto& it) {
+            return it.second->isIdle();
+        });
     }
 
     InstanceState state() const { return m_control.view().load()->state; }
@@ -294,15 +291,9 @@
 
 Node::~Node() = default;
 
-Actions Node::tick(TimePoint now)
-{
-    return m_implementation->tick(now);
-}
+Actions Node::tick(TimePoint now) { return m_implementation->tick(now); }
 
-Actions Node::receive(const Envelope& envelope, TimePoint now)
-{
-    return m_implementation->receive(envelope, now);
-}
+Actions Node::receive(const Envelope& envelope, TimePoint now) { return m_implementation->receive(envelope, now); }
 
 Actions Node::storeCompleted(std::uint64_t id, const StoreResult& result, TimePoint now)
 {
@@ -314,54 +305,27 @@
     return m_implementation->probeCompleted(id, result, now);
 }
 
-LookupResult Node::lookup(const LookupQuery& query, TimePoint now)
-{
-    return m_implementation->lookup(query, now);
-}
+LookupResult Node::lookup(const LookupQuery& query, TimePoint now) { return m_implementation->lookup(query, now); }
 
-Actions Node::begin(const RequestHead& head, TimePoint now)
-{
-    return m_implementation->begin(head, now);
-}
+Actions Node::begin(const RequestHead& head, TimePoint now) { return m_implementation->begin(head, now); }
 
 Actions Node::finished(const RequestId& id, const DispatchOutcome& outcome, TimePoint now)
 {
     return m_implementation->finished(id, outcome, now);
 }
 
-Actions Node::abandoned(const RequestId& id, TimePoint now)
-{
-    return m_implementation->abandoned(id, now);
-}
+Actions Node::abandoned(const RequestId& id, TimePoint now) { return m_implementation->abandoned(id, now); }
 
-Actions Node::operate(const OperatorRequest& request, TimePoint now)
-{
-    return m_implementation->operate(request, now);
-}
+Actions Node::operate(const OperatorRequest& request, TimePoint now) { return m_implementation->operate(request, now); }
 
-std::string Node::status(TimePoint now) const
-{
-    return m_implementation->status(now);
-}
+std::string Node::status(TimePoint now) const { return m_implementation->status(now); }
 
-Actions Node::leave(TimePoint now)
-{
-    return m_implementation->leave(now);
-}
+Actions Node::leave(TimePoint now) { return m_implementation->leave(now); }
 
-bool Node::hasDrained(TimePoint now) const
-{
-    return m_implementation->hasDrained(now);
-}
+bool Node::hasDrained(TimePoint now) const { return m_implementation->hasDrained(now); }
 
-InstanceState Node::state() const
-{
-    return m_implementation->state();
-}
+InstanceState Node::state() const { return m_implementation->state(); }
 
-ConfigurationVersion Node::configurationVersion() const
-{
-    return m_implementation->configurationVersion();
-}
+ConfigurationVersion Node::configurationVersion() const { return m_implementation->configurationVersion(); }
 
 }
--- a/peridot/src/OperatorEndpoint.cpp
+++ b/peridot/src/OperatorEndpoint.cpp
@@ -12,54 +12,53 @@
 
 namespace {
 
-AnswerOperator answer(const OperatorRequest& request, std::uint16_t status, const nlohmann::json& body)
-{
-    return { request.id, status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) };
-}
-
-AnswerOperator errorAnswer(
-    const OperatorRequest& request, std::uint16_t status, const std::string& code, const std::string& message)
-{
-    return answer(request, status, { { "code", code }, { "message", message } });
-}
+    AnswerOperator answer(const OperatorRequest& request, std::uint16_t status, const nlohmann::json& body)
+    {
+        return { request.id, status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) };
+    }
 
-/** The operator's name goes into the change id, so that a conflict can say whose change won. */
-std::string changeIdOf(const OperatorRequest& request, const std::string& operatorName)
-{
-    return operatorName.empty() ? request.id : operatorName + ":" + request.id;
-}
+    AnswerOperator errorAnswer(
+        const OperatorRequest& request, std::uint16_t status, const std::string& code, const std::string& message)
+    {
+        return answer(request, status, { { "code", code }, { "message", message } });
+    }
 
-Result<ChangeRequest> parseChanges(const OperatorRequest& request)
-{
-    auto document = parseJsonWithComments(request.body, "request body");
-    if (!document)
-        return tl::make_unexpected(document.error());
-    nlohmann::json changes = nlohmann::json::array();
-    if (document->is_object() && document->contains("changes")) {
-        changes = std::move((*document)["changes"]);
-        document->erase("changes");
+    /** The operator's name goes into the change id, so that a conflict can say whose change won. */
+    std::string changeIdOf(const OperatorRequest& request, const std::string& operatorName)
+    {
+        return operatorName.empty() ? request.id : operatorName + ":" + request.id;
     }
-    auto parsed = readSettings<ChangeRequest>(*document, "request body", [&](JsonReader& reader) {
-        ChangeRequest result;
-        result.baseVersion
-            = static_cast<ConfigurationVersion>(reader.integer("base_version", 0, INT64_MAX, 0));
-        result.id = changeIdOf(request, reader.string("operator", ""));
-        return result;
-    });
-    if (!parsed)
+
+    Result<ChangeRequest> parseChanges(const OperatorRequest& request)
+    {
+        auto document = parseJsonWithComments(request.body, "request body");
+        if (!document)
+            return tl::make_unexpected(document.error());
+        nlohmann::json changes = nlohmann::json::array();
+        if (document->is_object() && document->contains("changes")) {
+            changes = std::move((*document)["changes"]);
+            document->erase("changes");
+        }
+        auto parsed = readSettings<ChangeRequest>(*document, "request body", [&](JsonReader& reader) {
+            ChangeRequest result;
+            result.baseVersion = static_cast<ConfigurationVersion>(reader.integer("base_version", 0, INT64_MAX, 0));
+            result.id = changeIdOf(request, reader.string("operator", ""));
+            return result;
+        });
+        if (!parsed)
+            return parsed;
+        if (!changes.is_array() || changes.empty()) {
+            return makeError(ErrorCode::InvalidArgument, "read changes", "request body",
+                "changes: expected an array with at least one change");
+        }
+        for (std::size_t i = 0; i < changes.size(); ++i) {
+            auto change = changeFromJson(changes[i], "changes[" + std::to_string(i) + "]");
+            if (!change)
+                return tl::make_unexpected(change.error());
+            parsed->changes.push_back(std::move(*change));
+        }
         return parsed;
-    if (!changes.is_array() || changes.empty()) {
-        return makeError(ErrorCode::InvalidArgument, "read changes", "request body",
-            "changes: expected an array with at least one change");
-    }
-    for (std::size_t i = 0; i < changes.size(); ++i) {
-        auto change = changeFromJson(changes[i], "changes[" + std::to_string(i) + "]");
-        if (!change)
-            return tl::make_unexpected(change.error());
-        parsed->changes.push_back(std::move(*change));
     }
-    return parsed;
-}
 
 }
 
--- a/peridot/src/Published.h
+++ b/peridot/src/Published.h
@@ -9,8 +9,7 @@
 namespace peridot {
 
 /** Thread-safe. The lock is held for the copy of one pointer only. */
-template <typename T>
-class Published {
+template <typename T> class Published {
 public:
     explicit Published(std::shared_ptr<const T> value)
         : m_value(std::move(value))
--- a/peridot/src/RegionLedgerHost.cpp
+++ b/peridot/src/RegionLedgerHost.cpp
@@ -11,30 +11,31 @@
 
 namespace {
 
-constexpr Duration storeTimeout = std::chrono::seconds { 1 };
-constexpr Duration capacityInterval = std::chrono::milliseconds { 500 };
-constexpr Duration watchInterval = std::chrono::seconds { 1 };
-// A ledger whose row stands still has stopped granting after lease (3 s) and unit lifetime (1 s), both with drift. Twice
-// that, so that a region that comes and goes doesn't lose its share at each blink.
-constexpr Duration lapseTime = std::chrono::seconds { 8 };
-// Part of the free capacity that other regions may use. The rest absorbs changes within one update interval.
-constexpr double spillShare = 0.5;
-constexpr double spillReserve = 0.1;
-// Part of a link that spilled requests may fill; control traffic and the platform's own use the rest.
-constexpr double linkShare = 0.8;
-constexpr double burstSeconds = 0.2;
+    constexpr Duration storeTimeout = std::chrono::seconds { 1 };
+    constexpr Duration capacityInterval = std::chrono::milliseconds { 500 };
+    constexpr Duration watchInterval = std::chrono::seconds { 1 };
+    // A ledger whose row stands still has stopped granting after lease (3 s) and unit lifetime (1 s), both with drift.
+    // Twice that, so that a region that comes and goes doesn't lose its share at each blink.
+    constexpr Duration lapseTime = std::chrono::seconds { 8 };
+    // Part of the free capacity that other regions may use. The rest absorbs changes within one update interval.
+    constexpr double spillShare = 0.5;
+    constexpr double spillReserve = 0.1;
+    // Part of a link that spilled requests may fill; control traffic and the platform's own use the rest.
+    constexpr double linkShare = 0.8;
+    constexpr double burstSeconds = 0.2;
 
-std::uint64_t rankHash(const RegionId& region, const InstanceId& instance)
-{
-    const auto text = region.value() + "\n" + instance.value();
-    return XXH3_64bits(text.data(), text.size());
-}
+    std::uint64_t rankHash(const RegionId& region, const InstanceId& instance)
+    {
+        const auto text = region.value() + "\n" + instance.value();
+        return XXH3_64bits(text.data(), text.size());
+    }
 
-BudgetShare shareOf(double perSecond)
-{
-    const auto bounded = std::max(perSecond, 0.0);
-    return { static_cast<MilliRate>(bounded * 1000), std::max<Units>(1, static_cast<Units>(bounded * burstSeconds)) };
-}
+    BudgetShare shareOf(double perSecond)
+    {
+        const auto bounded = std::max(perSecond, 0.0);
+        return { static_cast<MilliRate>(bounded * 1000),
+            std::max<Units>(1, static_cast<Units>(bounded * burstSeconds)) };
+    }
 
 }
 
@@ -267,10 +268,7 @@
     m_lease.handOver(toText(m_ledger.snapshot(now)), now);
 }
 
-bool RegionLedgerHost::hasLeft() const noexcept
-{
-    return m_isLeaving && (!m_isHandingOver || m_lease.isHandedOver());
-}
+bool RegionLedgerHost::hasLeft() const noexcept { return m_isLeaving && (!m_isHandingOver || m_lease.isHandedOver()); }
 
 std::uint64_t RegionLedgerHost::epoch(TimePoint now) const noexcept
 {
--- a/peridot/src/RequestAdmission.cpp
+++ b/peridot/src/RequestAdmission.cpp
@@ -12,29 +12,26 @@
 
 namespace {
 
-constexpr Duration claimTimeout = std::chrono::seconds { 1 };
-constexpr Duration contactRetry = std::chrono::seconds { 2 };
-constexpr Duration duplicateRetry = std::chrono::seconds { 1 };
-// Part of the class target that a request may wait for units; the rest is needed for queue and backend server.
-constexpr int unitWaitShare = 4;
+    constexpr Duration claimTimeout = std::chrono::seconds { 1 };
+    constexpr Duration contactRetry = std::chrono::seconds { 2 };
+    constexpr Duration duplicateRetry = std::chrono::seconds { 1 };
+    // Part of the class target that a request may wait for units; the rest is needed for queue and backend server.
+    constexpr int unitWaitShare = 4;
 
-BudgetKey rateKey(const WorkspaceId& workspace)
-{
-    return { BudgetKind::WorkspaceRate, workspace.value() };
-}
+    BudgetKey rateKey(const WorkspaceId& workspace) { return { BudgetKind::WorkspaceRate, workspace.value() }; }
 
-Refusal keyRefusal(KeyRefusal reason)
-{
-    switch (reason) {
-    case KeyRefusal::Malformed:
-        return makeRefusal(RefusalCode::MalformedKey);
-    case KeyRefusal::Unknown:
+    Refusal keyRefusal(KeyRefusal reason)
+    {
+        switch (reason) {
+        case KeyRefusal::Malformed:
+            return makeRefusal(RefusalCode::MalformedKey);
+        case KeyRefusal::Unknown:
+            return makeRefusal(RefusalCode::UnknownKey);
+        case KeyRefusal::Withdrawn:
+            return makeRefusal(RefusalCode::WithdrawnKey);
+        }
         return makeRefusal(RefusalCode::UnknownKey);
-    case KeyRefusal::Withdrawn:
-        return makeRefusal(RefusalCode::WithdrawnKey);
     }
-    return makeRefusal(RefusalCode::UnknownKey);
-}
 
 }
 
--- a/peridot/src/ServiceRouter.cpp
+++ b/peridot/src/ServiceRouter.cpp
@@ -13,47 +13,47 @@
 
 namespace {
 
-constexpr Duration initialMeanDuration = std::chrono::milliseconds { 30 };
-constexpr double smoothing = 0.05;
-constexpr Duration probeInterval = std::chrono::seconds { 1 };
-constexpr double requestCost = 1;
-
-BackendOutcome toBackendOutcome(DispatchOutcomeKind kind) noexcept
-{
-    switch (kind) {
-    case DispatchOutcomeKind::Completed:
-        return BackendOutcome::Succeeded;
-    case DispatchOutcomeKind::Shed:
-        return BackendOutcome::Shed;
-    case DispatchOutcomeKind::Cancelled:
-    case DispatchOutcomeKind::TimedOut:
-        return BackendOutcome::Cancelled;
-    case DispatchOutcomeKind::NotSent:
-    case DispatchOutcomeKind::Failed:
+    constexpr Duration initialMeanDuration = std::chrono::milliseconds { 30 };
+    constexpr double smoothing = 0.05;
+    constexpr Duration probeInterval = std::chrono::seconds { 1 };
+    constexpr double requestCost = 1;
+
+    BackendOutcome toBackendOutcome(DispatchOutcomeKind kind) noexcept
+    {
+        switch (kind) {
+        case DispatchOutcomeKind::Completed:
+            return BackendOutcome::Succeeded;
+        case DispatchOutcomeKind::Shed:
+            return BackendOutcome::Shed;
+        case DispatchOutcomeKind::Cancelled:
+        case DispatchOutcomeKind::TimedOut:
+            return BackendOutcome::Cancelled;
+        case DispatchOutcomeKind::NotSent:
+        case DispatchOutcomeKind::Failed:
+            return BackendOutcome::Failed;
+        }
         return BackendOutcome::Failed;
     }
-    return BackendOutcome::Failed;
-}
 
-RefusalCode refusalCode(QueueRefusalReason reason) noexcept
-{
-    switch (reason) {
-    case QueueRefusalReason::TargetUnreachable:
-        return RefusalCode::TargetUnreachable;
-    case QueueRefusalReason::DeadlineUnreachable:
-        return RefusalCode::DeadlineUnreachable;
-    case QueueRefusalReason::QueueFull:
-    case QueueRefusalReason::Displaced:
-    case QueueRefusalReason::Expired:
+    RefusalCode refusalCode(QueueRefusalReason reason) noexcept
+    {
+        switch (reason) {
+        case QueueRefusalReason::TargetUnreachable:
+            return RefusalCode::TargetUnreachable;
+        case QueueRefusalReason::DeadlineUnreachable:
+            return RefusalCode::DeadlineUnreachable;
+        case QueueRefusalReason::QueueFull:
+        case QueueRefusalReason::Displaced:
+        case QueueRefusalReason::Expired:
+            return RefusalCode::Overloaded;
+        }
         return RefusalCode::Overloaded;
     }
-    return RefusalCode::Overloaded;
-}
 
 }
 
-ServiceRouter::ServiceRouter(
-    ServiceId service, const NodeSettings& settings, BudgetHolders& budgets, DecisionHistory& history, std::uint64_t seed)
+ServiceRouter::ServiceRouter(ServiceId service, const NodeSettings& settings, BudgetHolders& budgets,
+    DecisionHistory& history, std::uint64_t seed)
     : m_service(std::move(service))
     , m_region(settings.self.region)
     , m_self(settings.self.id)
@@ -176,7 +176,8 @@
     if (choice.error() == NoBackendReason::AllAtLimit)
         return false;
     m_queue.pop(now);
-    refuse(record, makeRefusal(RefusalCode::NoBackendServer, RunState::NotRun, std::chrono::seconds { 1 }), now, output);
+    refuse(
+        record, makeRefusal(RefusalCode::NoBackendServer, RunState::NotRun, std::chrono::seconds { 1 }), now, output);
     return true;
 }
 
@@ -303,8 +304,8 @@
 {
     const auto& request = record.request;
     const bool hasNotRun = outcome.kind == DispatchOutcomeKind::Shed || outcome.kind == DispatchOutcomeKind::NotSent;
-    const bool mayRepeat = hasNotRun
-        || (outcome.kind == DispatchOutcomeKind::Failed && request.trafficClass.isIdempotent);
+    const bool mayRepeat
+        = hasNotRun || (outcome.kind == DispatchOutcomeKind::Failed && request.trafficClass.isIdempotent);
     const bool hasTime = now + Duration { static_cast<Duration::rep>(m_meanDuration) } < request.deadline;
     if (mayRepeat && hasTime && retryBudget(request.trafficClass.id).tryRetry(now)) {
         m_queue.putBack(now, makeQueued(record));
@@ -373,8 +374,7 @@
     state.pool->probeSucceeded(now, id);
     const auto queued = result.inFlight > result.slots ? result.inFlight - result.slots : 0;
     state.pool->report(now, id, LoadReport { result.inFlight - queued, queued }, Duration { 0 });
-    const bool hasChanged
-        = result.isDraining ? m_drainingByProbe.insert(id).second : m_drainingByProbe.erase(id) > 0;
+    const bool hasChanged = result.isDraining ? m_drainingByProbe.insert(id).second : m_drainingByProbe.erase(id) > 0;
     if (hasChanged)
         applyServers(state, now);
 }
@@ -422,10 +422,7 @@
         static_cast<std::uint32_t>(m_queue.length()) };
 }
 
-std::uint32_t ServiceRouter::localSlots(TimePoint now) const
-{
-    return load(now).slots;
-}
+std::uint32_t ServiceRouter::localSlots(TimePoint now) const { return load(now).slots; }
 
 Duration ServiceRouter::meanDuration() const
 {
--- a/peridot/src/Statistics.cpp
+++ b/peridot/src/Statistics.cpp
@@ -10,15 +10,15 @@
 
 namespace {
 
-// Before that many lookups the ratio of requests to lookups says little.
-constexpr std::uint64_t fewestLookups = 50;
-
-nlohmann::json milliseconds(std::optional<Duration> duration)
-{
-    if (!duration)
-        return nullptr;
-    return static_cast<double>(duration->count()) / 1000.0;
-}
+    // Before that many lookups the ratio of requests to lookups says little.
+    constexpr std::uint64_t fewestLookups = 50;
+
+    nlohmann::json milliseconds(std::optional<Duration> duration)
+    {
+        if (!duration)
+            return nullptr;
+        return static_cast<double>(duration->count()) / 1000.0;
+    }
 
 }
 
@@ -91,7 +91,8 @@
                 { "burst", workspace.burst }, { "p99_ms", milliseconds(p99) }, { "completed", counts.completed },
                 { "not_run", counts.notRun }, { "unknown", counts.unknown } });
     }
-    std::stable_sort(workspaces.begin(), workspaces.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::stable_sort(
+        workspaces.begin(), workspaces.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
     auto sorted = nlohmann::json::array();
     for (auto& [p99, workspace] : workspaces)
         sorted.push_back(std::move(workspace));
--- a/peridot/tests/NodeTest.cpp
+++ b/peridot/tests/NodeTest.cpp
@@ -174,8 +174,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, dispatchCount(request));
         drive(1, 100ms, "large", &refused);
         CPPUNIT_ASSERT_EQUAL(0, refused);
-        const auto claimed
-            = m_fleet->request("b2", "POST", "/booking/book", SmallFleet::key("small"), "order-1");
+        const auto claimed = m_fleet->request("b2", "POST", "/booking/book", SmallFleet::key("small"), "order-1");
         m_fleet->run(5s);
         CPPUNIT_ASSERT(wasRefused(claimed, "store_unavailable"));
     }
--- a/peridot/tests/SmallFleet.h
+++ b/peridot/tests/SmallFleet.h
@@ -159,12 +159,13 @@
         const auto name = region + std::to_string(number + 1);
         NodeSettings settings;
         settings.deployment = DeploymentId("test");
-        settings.self = { InstanceId(name), 1, RegionId(region), FailureDomainId(region + "-" + std::to_string(number % 2)),
-            "caller:" + name, "peer:" + name, InstanceState::Starting, 0 };
+        settings.self
+            = { InstanceId(name), 1, RegionId(region), FailureDomainId(region + "-" + std::to_string(number % 2)),
+                  "caller:" + name, "peer:" + name, InstanceState::Starting, 0 };
         settings.regions = { RegionId("a"), RegionId("b"), RegionId("c") };
         settings.regionDelay = std::chrono::milliseconds { 5 };
-        settings.clientBlocks
-            = { { "10.1.0.0/16", { RegionId("a") } }, { "10.2.0.0/16", { RegionId("b") } }, { "10.3.0.0/16", { RegionId("c") } } };
+        settings.clientBlocks = { { "10.1.0.0/16", { RegionId("a") } }, { "10.2.0.0/16", { RegionId("b") } },
+            { "10.3.0.0/16", { RegionId("c") } } };
         settings.randomSeed = 7 + m_order.size();
         PlatformInstance instance;
         instance.kind = PlatformInstanceKind::Entry;
