--- a/libs/routing/src/BlockTable.cpp
+++ b/libs/routing/src/BlockTable.cpp
@@ -4,8 +4,10 @@
 
 #include "base/Assert.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
-#include <map>
+#include <array>
 
 namespace peridot {
 
@@ -16,11 +18,28 @@
         return vector.capacity() * sizeof(T);
     }
 
-    struct ListLess {
-        bool operator()(std::span<const SiteIndex> a, std::span<const SiteIndex> b) const noexcept
+    /** Places each distinct list once. Holds its entries on the stack, as it is built for every touched chunk. */
+    class ListTable {
+    public:
+        /** Returns the offset of the list; adds it to the end of @p data if it is new. */
+        std::uint32_t place(std::span<const SiteIndex> list, std::vector<SiteIndex>& data)
         {
-            return std::lexicographical_compare(a.begin(), a.end(), b.begin(), b.end());
+            auto slot = XXH3_64bits(list.data(), list.size_bytes()) % m_offsets.size();
+            for (; m_offsets[slot]; slot = (slot + 1) % m_offsets.size()) {
+                const auto* known = data.data() + m_offsets[slot] - 1;
+                if (std::equal(list.begin(), list.end(), known + 1, known + 1 + *known))
+                    return m_offsets[slot] - 1;
+            }
+            const auto offset = static_cast<std::uint32_t>(data.size());
+            m_offsets[slot] = offset + 1;
+            data.push_back(static_cast<SiteIndex>(list.size()));
+            data.insert(data.end(), list.begin(), list.end());
+            return offset;
         }
+
+    private:
+        // Twice the blocks of a chunk, so that a free slot always exists. An entry is the offset plus 1, or 0 if free.
+        std::array<std::uint32_t, 2 * BlockChunk<V4Bits>::s_largestSize> m_offsets {};
     };
 
     /** Merges sorted rows with sorted changes. Returns the change that removes a missing block, if there is one. */
@@ -49,17 +68,11 @@
 template <typename Bits> BlockChunk<Bits>::BlockChunk(std::span<const BlockRow<Bits>> rows)
 {
     PERIDOT_ASSERT(!rows.empty() && rows.size() <= s_largestSize, "a chunk has a bounded number of blocks");
-    std::map<std::span<const SiteIndex>, std::uint32_t, ListLess> lists;
-    std::size_t siteDataSize = 0;
-    for (const auto& row : rows) {
-        if (lists.try_emplace(row.sites, static_cast<std::uint32_t>(siteDataSize)).second)
-            siteDataSize += row.sites.size() + 1;
-    }
-    m_siteData.resize(siteDataSize);
-    for (const auto& [list, offset] : lists) {
-        m_siteData[offset] = static_cast<SiteIndex>(list.size());
-        std::copy(list.begin(), list.end(), m_siteData.begin() + offset + 1);
-    }
+    ListTable lists;
+    std::size_t largestSiteData = 0;
+    for (const auto& row : rows)
+        largestSiteData += row.sites.size() + 1;
+    m_siteData.reserve(largestSiteData);
     m_starts.reserve(rows.size());
     m_lengths.reserve(rows.size());
     m_parents.reserve(rows.size());
@@ -72,8 +85,9 @@
         m_starts.push_back(row.start);
         m_lengths.push_back(row.length);
         m_parents.push_back(parent);
-        m_lists.push_back(lists.find(row.sites)->second);
+        m_lists.push_back(lists.place(row.sites, m_siteData));
     }
+    m_siteData.shrink_to_fit();
 }
 
 template <typename Bits> std::optional<std::size_t> BlockChunk<Bits>::find(const Bits& address) const noexcept
