routing: keep each chunk of the block map in one allocation

A lookup waits mostly for cache and TLB misses. The sharing test now uses site lists as varied as real ones: with a single list the map is so small that the index of the chunks alone exceeds a fiftieth of it.

--- a/libs/routing/src/BlockTable.cpp
+++ b/libs/routing/src/BlockTable.cpp
@@ -22,16 +22,16 @@
     class ListTable {
     public:
         /** Returns the offset of the list; adds it to the end of @p data if it is new. */
-        std::uint32_t place(std::span<const SiteIndex> list, std::vector<SiteIndex>& data)
+        std::uint16_t place(std::span<const SiteIndex> list, std::vector<SiteIndex>& data)
         {
             auto slot = XXH3_64bits(list.data(), list.size_bytes()) % m_offsets.size();
             for (; m_offsets[slot]; slot = (slot + 1) % m_offsets.size()) {
                 const auto* known = data.data() + m_offsets[slot] - 1;
                 if (std::equal(list.begin(), list.end(), known + 1, known + 1 + *known))
-                    return m_offsets[slot] - 1;
+                    return static_cast<std::uint16_t>(m_offsets[slot] - 1);
             }
-            const auto offset = static_cast<std::uint32_t>(data.size());
-            m_offsets[slot] = offset + 1;
+            const auto offset = static_cast<std::uint16_t>(data.size());
+            m_offsets[slot] = offset + 1U;
             data.push_back(static_cast<SiteIndex>(list.size()));
             data.insert(data.end(), list.begin(), list.end());
             return offset;
@@ -69,44 +69,51 @@
 {
     PERIDOT_ASSERT(!rows.empty() && rows.size() <= s_largestSize, "a chunk has a bounded number of blocks");
     ListTable lists;
-    std::size_t largestSiteData = 0;
-    for (const auto& row : rows)
-        largestSiteData += row.sites.size() + 1;
-    m_siteData.reserve(largestSiteData);
-    m_starts.reserve(rows.size());
-    m_lengths.reserve(rows.size());
-    m_parents.reserve(rows.size());
-    m_lists.reserve(rows.size());
+    std::vector<Block> blocks;
+    std::vector<SiteIndex> siteData;
+    blocks.reserve(rows.size());
     for (const auto& row : rows) {
         // The parent of a block is the block before it, or one of that block's ancestors.
-        auto parent = static_cast<std::uint16_t>(m_starts.empty() ? s_noParent : m_starts.size() - 1);
-        while (parent != s_noParent && !covers(m_starts[parent], m_lengths[parent], row.start))
-            parent = m_parents[parent];
-        m_starts.push_back(row.start);
-        m_lengths.push_back(row.length);
-        m_parents.push_back(parent);
-        m_lists.push_back(lists.place(row.sites, m_siteData));
+        auto parent = static_cast<std::uint8_t>(blocks.empty() ? s_noParent : blocks.size() - 1);
+        while (parent != s_noParent && !covers(rows[parent].start, rows[parent].length, row.start))
+            parent = blocks[parent].parent;
+        blocks.push_back({ lists.place(row.sites, siteData), row.length, parent });
     }
-    m_siteData.shrink_to_fit();
+    const auto bytes
+        = s_startsOffset + rows.size() * (sizeof(Bits) + sizeof(Block)) + siteData.size() * sizeof(SiteIndex);
+    const auto size = (bytes + sizeof(std::uint64_t) - 1) / sizeof(std::uint64_t);
+    const auto words = std::make_shared<std::uint64_t[]>(size);
+    words[0] = rows.size() | size << 16;
+    auto* starts = reinterpret_cast<Bits*>(words.get() + 1);
+    for (const auto& row : rows)
+        *starts++ = row.start;
+    auto* end = std::copy(blocks.begin(), blocks.end(), reinterpret_cast<Block*>(starts));
+    std::copy(siteData.begin(), siteData.end(), reinterpret_cast<SiteIndex*>(end));
+    m_words = words;
 }
 
 template <typename Bits> std::optional<std::size_t> BlockChunk<Bits>::find(const Bits& address) const noexcept
 {
     // All blocks that cover the address are the last block that starts at or before it, or ancestors of that block.
-    const auto next = std::upper_bound(m_starts.begin(), m_starts.end(), address);
-    if (next == m_starts.begin())
+    const auto* first = starts();
+    // The search would wait for its cache lines one after the other.
+    constexpr std::size_t perLine = 64 / sizeof(Bits);
+    for (std::size_t i = 0; i < size(); i += perLine)
+        __builtin_prefetch(first + i);
+    const auto* next = std::upper_bound(first, first + size(), address);
+    if (next == first)
         return std::nullopt;
-    auto index = static_cast<std::uint16_t>(next - m_starts.begin() - 1);
-    while (index != s_noParent && !covers(m_starts[index], m_lengths[index], address))
-        index = m_parents[index];
+    auto index = static_cast<std::uint8_t>(next - first - 1);
+    while (index != s_noParent && !covers(first[index], blocks()[index].length, address))
+        index = blocks()[index].parent;
     return index == s_noParent ? std::nullopt : std::optional<std::size_t>(index);
 }
 
 template <typename Bits> std::vector<std::size_t> BlockChunk<Bits>::coveringAtEnd(const Bits& address) const
 {
     std::vector<std::size_t> covering;
-    for (auto index = static_cast<std::uint16_t>(size() - 1); index != s_noParent; index = m_parents[index]) {
-        if (covers(m_starts[index], m_lengths[index], address))
+    for (auto index = static_cast<std::uint8_t>(size() - 1); index != s_noParent; index = blocks()[index].parent) {
+        if (covers(starts()[index], blocks()[index].length, address))
             covering.push_back(index);
     }
     return covering;
@@ -114,8 +121,8 @@
 
 template <typename Bits> std::size_t BlockChunk<Bits>::memoryBytes() const noexcept
 {
-    return sizeof(*this) + vectorBytes(m_starts) + vectorBytes(m_lengths) + vectorBytes(m_parents)
-        + vectorBytes(m_lists) + vectorBytes(m_siteData);
+    constexpr std::size_t controlBlock = 2 * sizeof(std::uint64_t) + sizeof(void*);
+    return (m_words[0] >> 16) * sizeof(std::uint64_t) + controlBlock;
 }
 
 template <typename Bits> std::span<const SiteIndex> BlockTable<Bits>::find(const Bits& address) const noexcept
@@ -124,8 +131,8 @@
     if (next == m_firstStarts.begin())
         return {};
     const auto& part = m_parts[static_cast<std::size_t>(next - m_firstStarts.begin() - 1)];
-    if (const auto index = part.chunk->find(address))
-        return part.chunk->row(*index).sites;
+    if (const auto index = part.chunk.find(address))
+        return part.chunk.row(*index).sites;
     if (!part.outer)
         return {};
     const auto outer = std::find_if(part.outer->rbegin(), part.outer->rend(),
@@ -136,7 +143,7 @@
 template <typename Bits> std::size_t BlockTable<Bits>::partFor(const BlockRow<Bits>& change) const noexcept
 {
     const auto next = std::upper_bound(m_parts.begin(), m_parts.end(), change,
-        [](const BlockRow<Bits>& row, const Part& part) { return row.isBefore(part.chunk->row(0)); });
+        [](const BlockRow<Bits>& row, const Part& part) { return row.isBefore(part.chunk.row(0)); });
     return next == m_parts.begin() ? 0 : static_cast<std::size_t>(next - m_parts.begin() - 1);
 }
 
@@ -162,11 +169,11 @@
         }
         rows.clear();
         if (part < m_parts.size()) {
-            for (std::size_t i = 0; i < m_parts[part].chunk->size(); ++i)
-                rows.push_back(m_parts[part].chunk->row(i));
+            for (std::size_t i = 0; i < m_parts[part].chunk.size(); ++i)
+                rows.push_back(m_parts[part].chunk.row(i));
         }
         const auto end = part + 1 < m_parts.size() ? std::partition_point(change, changes.end(),
-                             [&](const BlockRow<Bits>& row) { return row.isBefore(m_parts[part + 1].chunk->row(0)); })
+                             [&](const BlockRow<Bits>& row) { return row.isBefore(m_parts[part + 1].chunk.row(0)); })
                                                    : changes.end();
         if (const auto missing = merge<Bits>(rows, { change, end }, merged))
             return tl::unexpected(*missing);
@@ -193,8 +200,8 @@
     for (std::size_t i = 0; i < pieces; ++i) {
         const auto begin = rows.size() * i / pieces;
         const auto end = rows.size() * (i + 1) / pieces;
-        m_parts.push_back({ std::make_shared<BlockChunk<Bits>>(all.subspan(begin, end - begin)), nullptr });
-        m_ownBytes += m_parts.back().chunk->memoryBytes();
+        m_parts.push_back({ BlockChunk<Bits>(all.subspan(begin, end - begin)), nullptr });
+        m_ownBytes += m_parts.back().chunk.memoryBytes();
     }
 }
 
@@ -203,9 +210,9 @@
     m_firstStarts.reserve(m_parts.size());
     for (std::size_t i = 0; i < m_parts.size(); ++i) {
         auto& part = m_parts[i];
-        m_firstStarts.push_back(part.chunk->firstStart());
-        m_blockCount += part.chunk->size();
-        auto outer = i ? outerBlocksAfter(m_parts[i - 1], part.chunk->firstStart()) : OuterBlocks();
+        m_firstStarts.push_back(part.chunk.firstStart());
+        m_blockCount += part.chunk.size();
+        auto outer = i ? outerBlocksAfter(m_parts[i - 1], part.chunk.firstStart()) : OuterBlocks();
         if (part.outer ? outer == *part.outer : outer.empty())
             continue;
         if (outer.empty()) {
@@ -226,9 +233,9 @@
         std::copy_if(part.outer->begin(), part.outer->end(), std::back_inserter(result),
             [&](const OuterBlock& block) { return covers(block.start, block.length, nextStart); });
     }
-    const auto covering = part.chunk->coveringAtEnd(nextStart);
+    const auto covering = part.chunk.coveringAtEnd(nextStart);
     std::for_each(covering.rbegin(), covering.rend(), [&](std::size_t index) {
-        const auto row = part.chunk->row(index);
+        const auto row = part.chunk.row(index);
         result.push_back({ row.start, row.length, { row.sites.begin(), row.sites.end() } });
     });
     return result;
@@ -246,7 +253,7 @@
 {
     auto sum = sizeof(*this) + vectorBytes(m_firstStarts) + vectorBytes(m_parts);
     for (const auto& part : m_parts)
-        sum += part.chunk->memoryBytes() + (part.outer ? bytes(*part.outer) : 0);
+        sum += part.chunk.memoryBytes() + (part.outer ? bytes(*part.outer) : 0);
     return sum;
 }
 
--- a/libs/routing/src/BlockTable.h
+++ b/libs/routing/src/BlockTable.h
@@ -51,19 +51,21 @@
     bool isSameBlock(const BlockRow& other) const noexcept { return start == other.start && length == other.length; }
 };
 
-/** A run of neighbouring blocks. Immutable once built. */
+/** A run of neighbouring blocks. Immutable once built; copies share the data. All of it is in one allocation, as most
+ * of the time of a lookup goes into cache and TLB misses. */
 template <typename Bits> class BlockChunk {
 public:
-    static constexpr std::size_t s_largestSize = 512;
+    static constexpr std::size_t s_largestSize = 240;
 
     explicit BlockChunk(std::span<const BlockRow<Bits>> rows);
 
-    std::size_t size() const noexcept { return m_starts.size(); }
-    const Bits& firstStart() const noexcept { return m_starts.front(); }
+    std::size_t size() const noexcept { return m_words[0] & 0xffff; }
+    const Bits& firstStart() const noexcept { return *starts(); }
     BlockRow<Bits> row(std::size_t index) const noexcept
     {
-        const auto* list = m_siteData.data() + m_lists[index];
-        return { m_starts[index], m_lengths[index], { list + 1, *list } };
+        const auto& block = blocks()[index];
+        const auto* list = reinterpret_cast<const SiteIndex*>(blocks() + size()) + block.list;
+        return { starts()[index], block.length, { list + 1, *list } };
     }
     /** Returns the longest block of this chunk that covers the address. */
     std::optional<std::size_t> find(const Bits& address) const noexcept;
@@ -72,14 +74,24 @@
     std::size_t memoryBytes() const noexcept;
 
 private:
-    static constexpr std::uint16_t s_noParent = 0xffff;
-
-    // The fields of the blocks, in the order (start, length).
-    std::vector<Bits> m_starts;
-    std::vector<std::uint8_t> m_lengths;
-    std::vector<std::uint16_t> m_parents; // The longest other block of this chunk that contains the block.
-    std::vector<std::uint32_t> m_lists; // Offset of the block's list in m_siteData; equal lists are kept once.
-    std::vector<SiteIndex> m_siteData; // Each list: its length, then its sites.
+    static constexpr std::uint8_t s_noParent = 0xff;
+    static_assert(s_largestSize < s_noParent && s_largestSize * 256 <= 65536, "positions fit their types");
+
+    /** Kept together, since a lookup that has found the start needs all of it. */
+    struct Block {
+        std::uint16_t list = 0; // Offset of its site list; equal lists are kept once.
+        std::uint8_t length = 0;
+        std::uint8_t parent = s_noParent; // The longest other block of this chunk that contains the block.
+    };
+
+    static constexpr std::size_t s_startsOffset = sizeof(std::uint64_t);
+
+    const Bits* starts() const noexcept { return reinterpret_cast<const Bits*>(m_words.get() + 1); }
+    const Block* blocks() const noexcept { return reinterpret_cast<const Block*>(starts() + size()); }
+
+    // The number of blocks (low 16 bits) and of words, the starts in the order (start, length), the other fields of the
+    // blocks, and the site lists: each its length, then its sites.
+    std::shared_ptr<const std::uint64_t[]> m_words;
 };
 
 /** All blocks of one family. Immutable once built. */
@@ -106,7 +118,7 @@
     };
     using OuterBlocks = std::vector<OuterBlock>;
     struct Part {
-        std::shared_ptr<const BlockChunk<Bits>> chunk;
+        BlockChunk<Bits> chunk;
         std::shared_ptr<const OuterBlocks> outer; // Shortest first; null if there are none.
     };
 
--- a/libs/routing/tests/BlockMapTest.cpp
+++ b/libs/routing/tests/BlockMapTest.cpp
@@ -166,10 +166,13 @@
     /** A small delta must not copy the map: the budget of a node has no room for it. */
     void deltaSharesUntouchedChunks()
     {
-        BlockMap map(siteNames(2));
+        BlockMap map(siteNames(170));
         BlockDelta all;
-        for (std::uint32_t i = 0; i < 100000; ++i)
-            all.changes.push_back({ ClientBlock::containing(ClientAddress::fromV4(i << 8), 24), { 0 } });
+        for (std::uint32_t i = 0; i < 100000; ++i) {
+            const auto site = static_cast<SiteIndex>(i * 7 % 167);
+            all.changes.push_back({ ClientBlock::containing(ClientAddress::fromV4(i << 8), 24),
+                { site, static_cast<SiteIndex>(site + 1 + i % 3), static_cast<SiteIndex>(i % 11) } });
+        }
         const auto full = *map.apply(all);
         const auto next = *map.apply({ { { block("0.0.1.0/24"), { 1 } } } });
         CPPUNIT_ASSERT_EQUAL(full->blockCount(), next->blockCount());
