--- /dev/null
+++ b/tools/peridot-load/HttpClients.h
@@ -0,0 +1,38 @@
+// HTTP exchanges over cpprestsdk's client, with pooled connections per address.
+
+#pragma once
+
+#include "base/Time.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace peridot {
+
+struct HttpExchange {
+    std::string method;
+    std::string target; // Path and query.
+    std::map<std::string, std::string> headers;
+    std::string body;
+    // cpprestsdk sends a request again if a pooled connection turns out to be closed. Only requests that may run twice
+    // travel on pooled connections.
+    bool mayRunTwice = false;
+    Duration timeout { 0 };
+};
+
+struct HttpOutcome {
+    int status = 0; // 0 if there is no whole response.
+    std::map<std::string, std::string> headers; // Names in lower case.
+    std::string body;
+    std::string error;
+    bool isConnected = true; // False if no connection could be made, so that nothing was sent.
+};
+
+/** Calls back once, on a thread of cpprestsdk. */
+void sendHttp(const std::string& address, const HttpExchange&, const std::function<void(const HttpOutcome&)>& callback);
+
+/** Calls @p action after @p delay on a thread of cpprestsdk. */
+void callLater(Duration delay, std::function<void()> action);
+
+}
--- /dev/null
+++ b/tools/peridot-load/main.cpp
@@ -0,0 +1,101 @@
+// Callers of several workspaces. Prints what became of their requests.
+
+#include "LoadSettings.h"
+#include "WorkspaceCallers.h"
+#include "program/CommandLine.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+using namespace peridot;
+
+namespace {
+
+std::string tableLine(const std::string& name, const LoadStatistics& statistics)
+{
+    const auto milliseconds = [&statistics](double percent) {
+        return static_cast<double>(statistics.percentile(percent).count()) / 1000.0;
+    };
+    return fmt::format("{:<22} {:>8} {:>9} {:>8} {:>8} {:>8} {:>7} {:>6} {:>8.1f} {:>8.1f} {:>8.1f}\n", name,
+        statistics.sent(), statistics.count(Outcome::Completed), statistics.count(Outcome::RefusedInside),
+        statistics.count(Outcome::RefusedAbove), statistics.count(Outcome::Unknown), statistics.count(Outcome::Failed),
+        statistics.count(Outcome::Wrong), milliseconds(50), milliseconds(99), milliseconds(100));
+}
+
+/** Applies --duration-ms. Returns an error message, or nothing. */
+std::string applyOptions(const CommandLine& line, LoadSettings& settings)
+{
+    const auto duration = line.extra.find("duration-ms");
+    if (duration == line.extra.end())
+        return "";
+    try {
+        settings.duration = std::chrono::milliseconds { std::stoul(duration->second) };
+    } catch (const std::exception&) {
+        return "--duration-ms: found " + duration->second + ", expected a number of milliseconds";
+    }
+    return "";
+}
+
+nlohmann::json run(const LoadSettings& settings)
+{
+    std::vector<std::shared_ptr<WorkspaceCallers>> workspaces;
+    for (const auto& caller : settings.callers) {
+        workspaces.push_back(
+            std::make_shared<WorkspaceCallers>(settings, caller, settings.randomSeed + workspaces.size()));
+    }
+    for (const auto& workspace : workspaces)
+        workspace->start();
+    std::cout << fmt::format("{:<22} {:>8} {:>9} {:>8} {:>8} {:>8} {:>7} {:>6} {:>8} {:>8} {:>8}\n", "workspace",
+        "sent", "completed", "refused<", "refused>", "unknown", "failed", "wrong", "p50 ms", "p99 ms", "max ms");
+    LoadStatistics total;
+    nlohmann::json report { { "deployment", settings.deployment.value() },
+        { "duration_ms", toMilliseconds(settings.duration) }, { "workspaces", nlohmann::json::object() } };
+    for (const auto& workspace : workspaces) {
+        workspace->wait();
+        const auto statistics = workspace->statistics();
+        total.merge(statistics);
+        std::cout << tableLine(workspace->workspace(), statistics);
+        report["workspaces"][workspace->workspace()] = workspace->toJson();
+    }
+    std::cout << tableLine("total", total) << "refused<: inside the workspace's rate; refused>: above it\n";
+    report["total"] = total.toJson();
+    return report;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const ProgramDescription program { "peridot-load", PERIDOT_VERSION, "callers of several workspaces" };
+    const auto line = parseCommandLine(program, argc, argv,
+        { { "json", "file for the results as JSON" }, { "duration-ms", "time to send for, in milliseconds" } });
+    if (line.exitCode)
+        return static_cast<int>(*line.exitCode);
+    auto settings = readLoadSettings(line.settingsPath);
+    if (!settings)
+        return reportInvalidSettings(program, settings.error());
+    if (const auto error = applyOptions(line, *settings); !error.empty()) {
+        std::cerr << program.name << ": " << error << '\n';
+        return static_cast<int>(ExitCode::InvalidSettings);
+    }
+    if (line.isCheckOnly) {
+        std::cout << line.settingsPath << ": valid\n";
+        return static_cast<int>(ExitCode::Success);
+    }
+    configureLogging(program.name, line.logLevel);
+    const auto report = run(*settings);
+    if (const auto file = line.extra.find("json"); file != line.extra.end()) {
+        std::ofstream out(file->second);
+        out << report.dump(2) << '\n';
+        if (!out.flush()) {
+            std::cerr << program.name << ": cannot write " << file->second << '\n';
+            return static_cast<int>(ExitCode::Failure);
+        }
+    }
+    return static_cast<int>(ExitCode::Success);
+}
--- a/tools/program/src/CommandLine.cpp
+++ b/tools/program/src/CommandLine.cpp
@@ -34,7 +34,8 @@
 
 }
 
-CommandLine parseCommandLine(const ProgramDescription& program, int argc, const char* const* argv)
+CommandLine parseCommandLine(
+    const ProgramDescription& program, int argc, const char* const* argv, const std::vector<ExtraOption>& extraOptions)
 {
     options::options_description description("Options");
     auto add = description.add_options();
@@ -44,6 +45,9 @@
     add("help", "print this text and exit");
     add("version", "print the version and exit");
 
+    for (const auto& option : extraOptions)
+        add(option.name.c_str(), options::value<std::string>(), option.help.c_str());
+
     CommandLine line;
     try {
         options::variables_map values;
@@ -63,6 +67,10 @@
             throw options::error("--settings is missing");
         line.settingsPath = values["settings"].as<std::string>();
         line.isCheckOnly = values.contains("check-settings");
+        for (const auto& option : extraOptions) {
+            if (values.contains(option.name))
+                line.extra[option.name] = values[option.name].as<std::string>();
+        }
         const auto& levelName = values["log-level"].as<std::string>();
         const auto level = logLevelFromName(levelName);
         if (!level)
