peridot: end a waiting claim at the caller's deadline and free its row

Change: expired claims are refused as not run at the deadline; cancelled and given-up claims are read back for 30 s and their rows deleted.

--- a/peridot/include/peridot/IdempotencyClaims.h
+++ b/peridot/include/peridot/IdempotencyClaims.h
@@ -59,6 +59,8 @@
     explicit IdempotencyClaims(std::string owner);
 
     void claim(const ClaimRequest&, TimePoint now);
+    /** The caller waits no longer. The claim is released if its row was or will be written. */
+    void cancel(const RequestId&, TimePoint now);
     /** Records the response, so that a repeated request is answered with it. */
     void complete(const RequestId&, const RecordedResponse&);
     /** Deletes the claim of a request that has not run and will not run. */
@@ -66,10 +68,10 @@
     /** Marks a claim whose request may have run without a known response. The row stays. */
     void abandon(const RequestId&);
 
-    std::vector<ClaimCall> takeCalls();
+    std::vector<ClaimCall> takeCalls(TimePoint now);
     std::vector<ClaimOutcome> completed(std::uint64_t token, const StoreResult&, TimePoint now);
 
-    /** Claims that wait for the store. */
+    /** Claims that wait for the store, cancelled ones included. */
     std::size_t pendingCount() const noexcept { return m_claims.size(); }
     /** True if no completion or release waits to be written. */
     bool isIdle() const noexcept { return m_updates.empty() && m_calls.empty() && m_waiting.empty(); }
@@ -83,6 +85,8 @@
         ClaimRequest request;
         TimePoint startedAt;
         bool mayBeWritten = false; // A commit with this claim had an unknown outcome.
+        bool isCancelled = false; // Nobody waits for the outcome; only the row is to be removed.
+        TimePoint nextReadBack {};
     };
 
     struct HeldClaim {
@@ -112,13 +116,14 @@
     std::string rowKey(const ClaimRequest&) const;
     std::string pendingValue(const ClaimRequest&) const;
     std::optional<ClaimCall> nextClaimCall();
-    std::optional<ClaimCall> nextReadBack();
+    std::optional<ClaimCall> nextReadBack(TimePoint now);
     std::optional<ClaimCall> nextUpdateCall();
     void completedClaims(const ClaimBatch&, const StoreResult&, TimePoint now, std::vector<ClaimOutcome>&);
     void completedUpdates(const UpdateBatch&, const StoreResult&);
     void resolveRow(const RequestId&, const TableRow*, TimePoint now, std::vector<ClaimOutcome>&);
     void grant(const RequestId&, RowVersion, std::vector<ClaimOutcome>&);
     void refuse(const RequestId&, ClaimRefusal, std::vector<ClaimOutcome>&);
+    void keepAsCancelled(const RequestId&, TimePoint now);
     void retryOrRefuse(const RequestId&, TimePoint now, std::vector<ClaimOutcome>&);
 
     std::string m_owner;
--- a/peridot/src/IdempotencyClaims.cpp
+++ b/peridot/src/IdempotencyClaims.cpp
@@ -19,6 +19,10 @@
     constexpr std::size_t longestIdempotencyKey = 128;
     // A claim that the store hasn't confirmed by then is refused; the request has not been dispatched.
     constexpr Duration longestClaimTime = std::chrono::seconds { 3 };
+    // The row of a cancelled claim would block the caller's next attempt, so it is looked for until a delayed write
+    // must have taken effect.
+    constexpr Duration cancelledReadInterval = std::chrono::seconds { 1 };
+    constexpr Duration longestLateWrite = std::chrono::seconds { 30 };
     // Completions and releases are given up after this many attempts. The row then stays pending, which is safe.
     constexpr std::uint32_t mostUpdateAttempts = 20;
 
@@ -110,11 +114,11 @@
 
 void IdempotencyClaims::abandon(const RequestId& request) { m_held.erase(request); }
 
-std::vector<ClaimCall> IdempotencyClaims::takeCalls()
+std::vector<ClaimCall> IdempotencyClaims::takeCalls(TimePoint now)
 {
     std::vector<ClaimCall> calls;
     while (m_calls.size() < mostCallsInFlight) {
-        auto call = nextReadBack();
+        auto call = nextReadBack(now);
         if (!call)
             call = nextClaimCall();
         if (!call)
@@ -156,19 +160,26 @@
     return ClaimCall { token, std::move(commit) };
 }
 
-std::optional<ClaimCall> IdempotencyClaims::nextReadBack()
+std::optional<ClaimCall> IdempotencyClaims::nextReadBack(TimePoint now)
 {
     TableRead read;
     ClaimBatch batch;
     batch.isReadBack = true;
+    std::deque<RequestId> later;
     while (!m_unresolved.empty() && batch.requests.size() < largestBatch) {
         auto id = m_unresolved.front();
         m_unresolved.pop_front();
-        if (auto it = m_claims.find(id); it != m_claims.end()) {
-            read.keys.push_back(rowKey(it->second.request));
-            batch.requests.push_back(id);
+        auto it = m_claims.find(id);
+        if (it == m_claims.end())
+            continue;
+        if (it->second.nextReadBack > now) {
+            later.push_back(std::move(id));
+            continue;
         }
+        read.keys.push_back(rowKey(it->second.request));
+        batch.requests.push_back(std::move(id));
     }
+    m_unresolved.insert(m_unresolved.end(), later.begin(), later.end());
     if (batch.requests.empty())
         return std::nullopt;
     const auto token = m_nextToken++;
@@ -247,6 +258,10 @@
     const RequestId& id, const TableRow* row, TimePoint now, std::vector<ClaimOutcome>& outcomes)
 {
     const auto& claim = m_claims.at(id);
+    if ((!row || row->version == 0) && claim.isCancelled) {
+        keepAsCancelled(id, now);
+        return;
+    }
     if (!row || row->version == 0) {
         // The row is free, so another claim of the batch failed it.
         m_claims.at(id).mayBeWritten = false;
@@ -280,23 +295,52 @@
     PERIDOT_ASSERT(!claim.empty(), "only an open claim is granted");
     const auto& request = claim.mapped().request;
     m_held.emplace(id, HeldClaim { rowKey(request), version, request.fingerprint });
-    outcomes.push_back({ id, ClaimGranted {} });
+    if (claim.mapped().isCancelled)
+        release(id);
+    else
+        outcomes.push_back({ id, ClaimGranted {} });
 }
 
 void IdempotencyClaims::refuse(const RequestId& id, ClaimRefusal refusal, std::vector<ClaimOutcome>& outcomes)
 {
-    m_claims.erase(id);
-    outcomes.push_back({ id, refusal });
+    auto claim = m_claims.extract(id);
+    if (!claim.mapped().isCancelled)
+        outcomes.push_back({ id, refusal });
 }
 
-void IdempotencyClaims::retryOrRefuse(const RequestId& id, TimePoint now, std::vector<ClaimOutcome>& outcomes)
+void IdempotencyClaims::cancel(const RequestId& id, TimePoint now)
+{
+    auto it = m_claims.find(id);
+    if (it == m_claims.end())
+        return;
+    it->second.isCancelled = true;
+    it->second.nextReadBack = now + cancelledReadInterval;
+    // A claim that waits for its first commit is dropped; one in a commit is settled by the result.
+    if (std::erase(m_waiting, id) > 0 && !it->second.mayBeWritten)
+        m_claims.erase(it);
+}
+
+void IdempotencyClaims::keepAsCancelled(const RequestId& id, TimePoint now)
 {
     auto& claim = m_claims.at(id);
-    if (now - claim.startedAt > longestClaimTime) {
-        refuse(id, ClaimRefusal::StoreUnavailable, outcomes);
+    if (!claim.mayBeWritten || now - claim.startedAt > longestLateWrite) {
+        m_claims.erase(id);
         return;
     }
-    if (claim.mayBeWritten)
+    claim.nextReadBack = now + cancelledReadInterval;
+    m_unresolved.push_back(id);
+}
+
+void IdempotencyClaims::retryOrRefuse(const RequestId& id, TimePoint now, std::vector<ClaimOutcome>& outcomes)
+{
+    auto& claim = m_claims.at(id);
+    if (!claim.isCancelled && now - claim.startedAt > longestClaimTime) {
+        outcomes.push_back({ id, ClaimRefusal::StoreUnavailable });
+        claim.isCancelled = true;
+    }
+    if (claim.isCancelled)
+        keepAsCancelled(id, now);
+    else if (claim.mayBeWritten)
         m_unresolved.push_back(id);
     else
         m_waiting.push_back(id);
--- a/peridot/src/RequestAdmission.cpp
+++ b/peridot/src/RequestAdmission.cpp
@@ -165,7 +165,7 @@
 {
     Actions actions;
     std::lock_guard lock(m_claimMutex);
-    for (auto& call : m_claims.takeCalls())
+    for (auto& call : m_claims.takeCalls(now))
         actions.emplace_back(m_calls.add(StoreCaller::Claims, call.token, std::move(call.request), claimTimeout, now));
     return actions;
 }
@@ -177,10 +177,9 @@
     {
         std::lock_guard lock(m_claimMutex);
         for (auto& outcome : m_claims.completed(token, result, now)) {
-            if (auto node = m_claiming.extract(outcome.request); !node.empty())
-                outcomes.emplace_back(std::move(node.mapped()), std::move(outcome));
-            else if (std::holds_alternative<ClaimGranted>(outcome.result))
-                m_claims.release(outcome.request); // The caller went away while the claim was open.
+            auto node = m_claiming.extract(outcome.request);
+            PERIDOT_ASSERT(!node.empty(), "an open claim belongs to a waiting request");
+            outcomes.emplace_back(std::move(node.mapped()), std::move(outcome));
         }
     }
     RequestOutput output;
@@ -237,17 +236,42 @@
         refuse(waiting.request.head, waiting.request.workspace,
             makeRefusal(RefusalCode::RateExceeded, RunState::NotRun, waiting.retryAfter), output);
     }
+    refuseExpiredClaims(now, output);
     auto calls = takeClaimCalls(now);
     std::move(calls.begin(), calls.end(), std::back_inserter(output.actions));
     return output;
 }
 
-bool RequestAdmission::abandoned(const RequestId& id, TimePoint)
+void RequestAdmission::refuseExpiredClaims(TimePoint now, RequestOutput& output)
+{
+    std::vector<AdmittedRequest> expired;
+    {
+        std::lock_guard lock(m_claimMutex);
+        for (auto it = m_claiming.begin(); it != m_claiming.end();) {
+            if (it->second.deadline > now) {
+                ++it;
+                continue;
+            }
+            m_claims.cancel(it->first, now);
+            expired.push_back(std::move(it->second));
+            it = m_claiming.erase(it);
+        }
+    }
+    for (const auto& request : expired) {
+        refuse(request.head, request.workspace,
+            makeRefusal(RefusalCode::StoreUnavailable, RunState::NotRun, contactRetry), output);
+    }
+}
+
+bool RequestAdmission::abandoned(const RequestId& id, TimePoint now)
 {
     if (m_waiters.remove(id))
         return true;
     std::lock_guard lock(m_claimMutex);
-    return m_claiming.erase(id) > 0;
+    if (m_claiming.erase(id) == 0)
+        return false;
+    m_claims.cancel(id, now);
+    return true;
 }
 
 Actions RequestAdmission::ended(const std::vector<EndedRequest>& requests, TimePoint now)
--- a/peridot/src/RequestAdmission.h
+++ b/peridot/src/RequestAdmission.h
@@ -45,6 +45,7 @@
     RequestOutput claim(AdmittedRequest, const ServingView&, TimePoint now);
     RequestOutput route(AdmittedRequest, const ServingView&, TimePoint now);
     Actions takeClaimCalls(TimePoint now);
+    void refuseExpiredClaims(TimePoint now, RequestOutput&);
     void refuse(const RequestHead&, const WorkspaceId&, const Refusal&, RequestOutput&);
 
     const NodeSettings& m_settings;
--- a/peridot/tests/IdempotencyClaimsTest.cpp
+++ b/peridot/tests/IdempotencyClaimsTest.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(rejectsKeyOfAnotherRequest);
     CPPUNIT_TEST(releasedKeyCanBeUsedAgain);
     CPPUNIT_TEST(refusesWhenStoreStaysDown);
+    CPPUNIT_TEST(cancelledClaimFreesItsKey);
+    CPPUNIT_TEST(givenUpClaimFreesItsKeyAfterLateWrite);
     CPPUNIT_TEST(batchesManyClaims);
     CPPUNIT_TEST(conflictDoesNotRefuseTheRestOfTheBatch);
     CPPUNIT_TEST_SUITE_END();
@@ -30,7 +32,7 @@
     std::vector<ClaimOutcome> run(IdempotencyClaims& claims)
     {
         std::vector<ClaimOutcome> outcomes;
-        for (auto calls = claims.takeCalls(); !calls.empty(); calls = claims.takeCalls()) {
+        for (auto calls = claims.takeCalls(m_now); !calls.empty(); calls = claims.takeCalls(m_now)) {
             for (const auto& call : calls) {
                 ++m_storeCalls;
                 auto part = claims.completed(call.token, m_store.apply(call.request), m_now);
@@ -63,7 +65,7 @@
     {
         IdempotencyClaims claims("a");
         claims.claim(request("r1", "k"), m_now);
-        auto calls = claims.takeCalls();
+        auto calls = claims.takeCalls(m_now);
         CPPUNIT_ASSERT(m_store.apply(calls.at(0).request));
         auto lost = makeError(ErrorCode::OutcomeUnknown, "commit", "store", "no answer");
         CPPUNIT_ASSERT(claims.completed(calls[0].token, lost, m_now).empty());
@@ -117,7 +119,7 @@
         std::vector<ClaimOutcome> outcomes;
         for (int i = 0; i < 100 && outcomes.empty(); ++i) {
             m_now += std::chrono::milliseconds { 100 };
-            for (const auto& call : claims.takeCalls())
+            for (const auto& call : claims.takeCalls(m_now))
                 outcomes
                     = claims.completed(call.token, makeError(ErrorCode::Unavailable, "commit", "store", "down"), m_now);
         }
@@ -126,6 +128,37 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, claims.pendingCount());
     }
 
+    void cancelledClaimFreesItsKey()
+    {
+        IdempotencyClaims claims("a");
+        claims.claim(request("r1", "k"), m_now);
+        auto calls = claims.takeCalls(m_now);
+        claims.cancel(RequestId("r1"), m_now);
+        CPPUNIT_ASSERT(claims.completed(calls.at(0).token, m_store.apply(calls[0].request), m_now).empty());
+        CPPUNIT_ASSERT(run(claims).empty());
+        claims.claim(request("r2", "k"), m_now);
+        CPPUNIT_ASSERT(isGranted(run(claims).at(0)));
+    }
+
+    void givenUpClaimFreesItsKeyAfterLateWrite()
+    {
+        IdempotencyClaims claims("a");
+        claims.claim(request("r1", "k"), m_now);
+        auto late = claims.takeCalls(m_now).at(0);
+        m_now += std::chrono::seconds { 4 };
+        auto outcomes
+            = claims.completed(late.token, makeError(ErrorCode::OutcomeUnknown, "commit", "store", "no answer"), m_now);
+        CPPUNIT_ASSERT(std::get<ClaimRefusal>(outcomes.at(0).result) == ClaimRefusal::StoreUnavailable);
+        m_now += std::chrono::seconds { 2 };
+        CPPUNIT_ASSERT(run(claims).empty());
+        // The write takes effect after the first look for it.
+        CPPUNIT_ASSERT(m_store.apply(late.request));
+        m_now += std::chrono::seconds { 2 };
+        CPPUNIT_ASSERT(run(claims).empty());
+        claims.claim(request("r2", "k"), m_now);
+        CPPUNIT_ASSERT(isGranted(run(claims).at(0)));
+    }
+
     void batchesManyClaims()
     {
         IdempotencyClaims claims("a");
