--- a/libs/budget/src/LedgerBucket.cpp
+++ b/libs/budget/src/LedgerBucket.cpp
@@ -79,7 +79,7 @@
 
 MilliRate LedgerBucket::rateAt(TimePoint time) const noexcept
 {
-    if (time >= m_rampStart + m_ramp)
+    if (m_ramp.count() == 0 || time >= m_rampStart + m_ramp)
         return m_share.rate;
     const auto elapsed = std::max<Duration::rep>(0, (time - m_rampStart).count());
     const auto part = static_cast<double>(elapsed) / static_cast<double>(m_ramp.count());
--- a/libs/budget/src/RegionLedger.cpp
+++ b/libs/budget/src/RegionLedger.cpp
@@ -113,7 +113,7 @@
     m_holders.clear();
     m_inherited.clear();
     for (auto& [key, bucket] : m_buckets)
-        bucket->reset(m_grantsFrom);
+        bucket->reset(TimePoint::max()); // No refill until the next activation.
     m_log.write(LogLevel::Info, LogLine("ledger_deactivated").add("region", m_region).add("epoch", m_epoch));
 }
 
--- a/libs/budget/tests/RegionLedgerTest.cpp
+++ b/libs/budget/tests/RegionLedgerTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST_SUITE(RegionLedgerTest);
     CPPUNIT_TEST(refillsNoFasterThanTheRate);
     CPPUNIT_TEST(grantsNothingBeforeItsTime);
+    CPPUNIT_TEST(holdsNoTokensWhileInactive);
     CPPUNIT_TEST(repeatsTheAnswerToARepeatedDemand);
     CPPUNIT_TEST(ignoresDemandsThatArriveLate);
     CPPUNIT_TEST(ignoresASecondItemOfTheSameKey);
@@ -80,6 +81,18 @@
         CPPUNIT_ASSERT_EQUAL(Units { 1 }, granted(demand("a", 3, 1), start + 4 * second + 20 * millisecond));
     }
 
+    void holdsNoTokensWhileInactive()
+    {
+        // Another instance may run the ledger meanwhile.
+        fill();
+        m_ledger.deactivate();
+        m_ledger.setShare(key, { 50'000, 8 }, start);
+        CPPUNIT_ASSERT_EQUAL(Units { 0 }, m_ledger.usage(key, start + second).tokens);
+        m_ledger.activate(2, start + 3 * second, start + 2 * second);
+        CPPUNIT_ASSERT_EQUAL(Units { 0 }, m_ledger.usage(key, start + 3 * second).tokens);
+        CPPUNIT_ASSERT_EQUAL(Units { 8 }, m_ledger.usage(key, start + 4 * second).tokens);
+    }
+
     void repeatsTheAnswerToARepeatedDemand()
     {
         fill();
