--- a/libs/routing/include/routing/BackendPool.h
+++ b/libs/routing/include/routing/BackendPool.h
@@ -163,7 +163,10 @@
     double meanShedShare(TimePoint now) const;
     tl::expected<std::vector<Candidate>, NoBackendReason> candidates(
         TimePoint now, double cost, std::span<const BackendServerId> excluded);
-    const Candidate& draw(const std::vector<Candidate>&, const Candidate* other);
+    /** The server that was left alone for the longest time, by weight. */
+    const Candidate& nextInTurn(const std::vector<Candidate>&) const;
+    /** A random one by weight. */
+    const Candidate& drawOther(const std::vector<Candidate>&, const Candidate& other);
     void observeLatency(double latencyPerCost) noexcept;
 
     ServiceId m_service;
@@ -175,6 +178,7 @@
     std::set<BackendServerId> m_departed; // No longer listed, but with running requests.
     std::uint32_t m_inFlight = 0;
     bool m_hasList = false;
+    double m_turn = 0; // The latest turn that was taken; a server's next turn comes 1/weight later on average.
 
     // Seconds per unit of cost; 0 before the first success.
     double m_latency = 0; // Recent mean over all servers.
--- a/libs/routing/src/BackendPool.cpp
+++ b/libs/routing/src/BackendPool.cpp
@@ -60,6 +60,7 @@
         }
         // Twice the fair share, as not all instances are busy with this server at the same time.
         server = std::make_unique<BackendServerState>(info, 2.0 * info.slots / static_cast<double>(m_instances.size()));
+        server->setTurn(m_turn + randomUnit(m_random) / info.slots);
         if (m_hasList)
             server->beginSlowStart(now);
     }
@@ -144,15 +145,21 @@
     return result;
 }
 
-const BackendPool::Candidate& BackendPool::draw(const std::vector<Candidate>& candidates, const Candidate* other)
+const BackendPool::Candidate& BackendPool::nextInTurn(const std::vector<Candidate>& candidates) const
+{
+    return *std::min_element(candidates.begin(), candidates.end(),
+        [](const Candidate& a, const Candidate& b) { return a.server->turn() < b.server->turn(); });
+}
+
+const BackendPool::Candidate& BackendPool::drawOther(const std::vector<Candidate>& candidates, const Candidate& other)
 {
     double sum = 0;
     for (const auto& candidate : candidates)
-        sum += &candidate == other ? 0 : candidate.weight;
+        sum += &candidate == &other ? 0 : candidate.weight;
     auto position = randomUnit(m_random) * sum;
     const Candidate* last = nullptr;
     for (const auto& candidate : candidates) {
-        if (&candidate == other)
+        if (&candidate == &other)
             continue;
         last = &candidate;
         position -= candidate.weight;
@@ -168,12 +175,15 @@
     const auto usable = candidates(now, cost, excluded);
     if (!usable)
         return tl::unexpected(usable.error());
-    const auto* chosen = &draw(*usable, nullptr);
+    const auto* chosen = &nextInTurn(*usable);
     if (usable->size() > 1) {
-        const auto* other = &draw(*usable, chosen);
+        const auto* other = &drawOther(*usable, *chosen);
         if (other->score < chosen->score && m_random() % explorationInterval)
             chosen = other;
     }
+    // A turn that was missed is not made up for. The random part keeps instances from taking the same order.
+    m_turn = std::max(m_turn, chosen->server->turn());
+    chosen->server->setTurn(m_turn + (0.5 + randomUnit(m_random)) / chosen->weight);
     const auto& info = chosen->server->info();
     PERIDOT_ASSERT(!info.isLeaving, "a leaving backend server gets no new work");
     return BackendChoice { info.id, info.address, chosen->score };
--- a/libs/routing/src/BackendServerState.h
+++ b/libs/routing/src/BackendServerState.h
@@ -53,6 +53,9 @@
     /** Latency relative to the mean of the pool; 1 if unknown. */
     double relativeLatency(double poolLatency) const noexcept;
 
+    double turn() const noexcept { return m_turn; }
+    void setTurn(double turn) noexcept { m_turn = turn; }
+
     void beginSlowStart(TimePoint now) noexcept { m_slowStartBegin = now; }
     double slowStartShare(TimePoint now, const BackendPoolOptions&) const;
 
@@ -91,6 +94,8 @@
     double m_foreignLoad = 0;
     double m_trust = 1;
 
+    double m_turn = 0; // Position in the order in which the pool offers its servers.
+
     double m_latency = 0; // Recent mean, seconds per unit of cost.
     double m_shedShare = 0; // As of m_shedTime; fades with time.
     TimePoint m_shedTime;
--- a/libs/routing/tests/BudgetRulesTest.cpp
+++ b/libs/routing/tests/BudgetRulesTest.cpp
@@ -102,6 +102,8 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(4, ramp.rate(zagorje), 1e-9);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(16, ramp.rate(jadran), 1e-9);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0, ramp.rate(slavonija), 0);
+        ramp.update(start, { { jadran, 1000 }, { zagorje, 500 } }, 100);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(10, ramp.rate(zagorje), 1e-9);
     }
 
     /** Caches are cold again after a shift ended; the next one must not start at the old rate. */
--- a/tests/golden/GoldenSessionTest.cpp
+++ b/tests/golden/GoldenSessionTest.cpp
@@ -36,8 +36,8 @@
     for (const auto& id : names.workspaces) {
         const auto comma = workspaces.empty() ? "" : ",";
         workspaces += fmt::format(R"({}{{"id":"{}","rate_per_second":60,"burst":60}})", comma, id);
-        keys += fmt::format(R"({}{{"id":"{}-key","hash":"{}","workspace":"{}"}})", comma, id,
-            toHex(hashKey(SmallFleet::key(id))), id);
+        keys += fmt::format(
+            R"({}{{"id":"{}-key","hash":"{}","workspace":"{}"}})", comma, id, toHex(hashKey(SmallFleet::key(id))), id);
     }
     return fmt::format(R"({{"services":[{0}],"classes":[
         {{"id":"{2}","service":"{1}","methods":["GET"],"path_prefix":"/{2}","importance":1,"target_latency_ms":600,
@@ -89,8 +89,7 @@
     }
 
 private:
-    template <typename Step>
-    void part(const std::string& title, Step step)
+    template <typename Step> void part(const std::string& title, Step step)
     {
         m_fleet.log.lines.clear();
         step();
@@ -118,7 +117,8 @@
 
     std::string path(const std::string& trafficClass) const { return "/" + m_names.service + "/" + trafficClass; }
 
-    void request(std::size_t n, const std::string& method, const std::string& trafficClass, const std::string& once = "")
+    void request(
+        std::size_t n, const std::string& method, const std::string& trafficClass, const std::string& once = "")
     {
         m_fleet.request(instance(n), method, path(trafficClass), SmallFleet::key(m_names.workspaces[0]), once);
         m_fleet.run(500ms);
@@ -172,8 +172,8 @@
     void withdrawal()
     {
         m_fleet.operate(instance(1), "ana-1", "POST", "/changes",
-            fmt::format(R"({{"operator":"ana","changes":[{{"type":"withdraw_key","key":"{}-key"}}]}})",
-                m_names.workspaces[1]));
+            fmt::format(
+                R"({{"operator":"ana","changes":[{{"type":"withdraw_key","key":"{}-key"}}]}})", m_names.workspaces[1]));
         m_fleet.run(5s);
         for (std::size_t n = 0; n < m_fleet.names().size(); ++n)
             m_fleet.request(instance(n), "GET", path(m_names.read), SmallFleet::key(m_names.workspaces[1]));
