budget: keep needs current and give small amounts of share

A need was rewritten only when it was off by 10% of the rate, so a need that had been met stayed and hid that the region was short again; and a donor gave nothing below 2% of the rate, even if that was all that was missing.

--- a/libs/budget/src/ShareTable.cpp
+++ b/libs/budget/src/ShareTable.cpp
@@ -273,7 +273,7 @@
         const auto it = byKey.find(shareRowKey(id));
         if (it != byKey.end())
             takeRow(id, workspace, *it->second, now);
-        else if (isComplete)
+        else if (isComplete && rows.size() < scanLimit)
             takeRow(id, workspace, none, now);
     }
 }
@@ -394,7 +394,7 @@
         const auto missing = missingElsewhere(row) - row.remainder.rate;
         const auto spare = own.rate - rateToKeep(m_ledger.usage(key, now), row.total, m_regions.size());
         const auto given = std::min(missing, spare);
-        if (given <= 0 || given < row.total.rate / smallestMoveDivisor)
+        if (given <= 0 || given < std::min(missing, row.total.rate / smallestMoveDivisor))
             return std::nullopt;
         const auto rate = own.rate - given;
         workspace.shrinkTo = BudgetShare { rate, std::min(own.burst, burstFor(rate, row.total, m_regions.size())) };
@@ -440,7 +440,9 @@
         row.remainder.rate, static_cast<MilliRate>(static_cast<double>(row.remainder.rate) * part) + 1);
     const auto taken = std::min(missing, offered);
     const auto step = std::max<MilliRate>(1, row.total.rate / smallestMoveDivisor);
-    const bool isNeedCurrent = need != row.needs.end() && std::abs(need->second - wanted) < 5 * step;
+    // Other regions give at most what the need exceeds the share by.
+    const bool isNeedCurrent
+        = need != row.needs.end() && need->second >= own.rate + missing / 2 && need->second < wanted + 5 * step;
     const bool isWorthTaking = taken >= std::min(step, missing);
     if (isNeedCurrent && !isWorthTaking)
         return std::nullopt;
--- a/libs/budget/tests/FleetTest.cpp
+++ b/libs/budget/tests/FleetTest.cpp
@@ -215,6 +215,10 @@
             CPPUNIT_ASSERT(
                 wrongfulPart(total, constant(perSecond, { 0.6, 0.3, 0.1 }), constant(perSecond, { 0.1, 0.2, 0.7 }))
                 <= 0.001);
+            // A region that is short of little must not be left out.
+            CPPUNIT_ASSERT(
+                wrongfulPart(total, constant(perSecond, { 0.9, 0.05, 0.05 }), constant(perSecond, { 0, 0.1, 0.9 }))
+                <= 0.001);
         }
     }
 
