--- /dev/null
+++ b/daemons/peridotd/tests/LoopbackBackend.h
@@ -0,0 +1,51 @@
+// A backend server on loopback that misbehaves as its paths say, and plain HTTP exchanges over sockets.
+
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace peridot {
+
+/** Sends bytes to host:port on a new connection and returns what comes back until the other side closes. */
+std::string exchangeBytes(const std::string& address, const std::string& bytes);
+
+/**
+ * Answers by the path's last segment: "close" reads the request and closes the connection, "truncated" sends half of
+ * the announced body, "long-truncated" does so with 1 MB, "other" answers with another request's id, "unframed" sends a
+ * body without length, "slow" answers after two seconds; anything else is answered with "done".
+ */
+class LoopbackBackend {
+public:
+    LoopbackBackend();
+    ~LoopbackBackend();
+    LoopbackBackend(const LoopbackBackend&) = delete;
+    LoopbackBackend& operator=(const LoopbackBackend&) = delete;
+
+    const std::string& address() const noexcept { return m_address; }
+    /** Requests that were read completely, by path. */
+    int runs(const std::string& path) const;
+    /** Everything that was received. */
+    std::string received() const;
+
+private:
+    void accept();
+    void serve(int descriptor);
+    bool answer(int descriptor, const std::string& request);
+
+    int m_listener = -1;
+    std::string m_address;
+    std::atomic<bool> m_isStopping { false };
+    mutable std::mutex m_mutex;
+    std::map<std::string, int> m_runs;
+    std::string m_received;
+    std::vector<int> m_connections;
+    std::vector<std::thread> m_threads;
+    std::thread m_acceptor;
+};
+
+}
