peridot: hold the view while its routers are visited

A range-for over a member of a temporary does not prolong the temporary's life in C++20. With a new view published meanwhile, finished(), abandoned() and probeCompleted() read freed memory; peridotd-tests ended with a segmentation fault in the first test, in Node::finished.

--- a/peridot/src/Node.cpp
+++ b/peridot/src/Node.cpp
@@ -125,7 +125,8 @@
 
     Actions probeCompleted(const BackendServerId& id, const ProbeResult& result, TimePoint now)
     {
-        for (const auto& [service, router] : m_control.view().load()->routers)
+        const auto view = m_control.view().load();
+        for (const auto& [service, router] : view->routers)
             router->probeCompleted(id, result, now);
         return {};
     }
@@ -184,7 +185,8 @@
     Actions finished(const RequestId& id, const DispatchOutcome& outcome, TimePoint now)
     {
         Actions actions;
-        for (const auto& [service, router] : m_control.view().load()->routers)
+        const auto view = m_control.view().load();
+        for (const auto& [service, router] : view->routers)
             take(router->finished(id, outcome, now), now, actions);
         return actions;
     }
@@ -194,7 +196,8 @@
         Actions actions;
         if (m_admission.abandoned(id, now))
             return actions;
-        for (const auto& [service, router] : m_control.view().load()->routers)
+        const auto view = m_control.view().load();
+        for (const auto& [service, router] : view->routers)
             take(router->abandoned(id, now), now, actions);
         return actions;
     }
