load: spread callers over client blocks and tell responses of earlier runs apart

All callers looked up from one address, so all requests went to one region, and repeated idempotency keys got the responses of an earlier run. Requests now come from clients of all three regions, ids differ in every run, and a replayed response is checked by its body. Counts of completed requests at a backend server no longer include probes.

--- a/tools/peridot-backend/BackendConnection.cpp
+++ b/tools/peridot-backend/BackendConnection.cpp
@@ -98,6 +98,7 @@
 {
     readTarget();
     m_job.reset();
+    m_isCounted = false;
     if (m_request.method() == http::verb::get && (m_path == "/health" || m_path == "/load")) {
         ++m_server.counts().probes;
         const auto report = m_server.model().report(monotonicTime());
@@ -152,6 +153,7 @@
     const auto& control = m_server.model().control();
     const auto now = monotonicTime();
     ++counts.requests;
+    m_isCounted = true;
     counts.lastRequestUnixMs = unixMilliseconds();
     if (control.isDraining)
         ++counts.requestsWhileDraining;
@@ -331,7 +333,7 @@
 {
     if (m_isClosed)
         return;
-    if (!error)
+    if (!error && m_isCounted)
         ++m_server.counts().completed;
     if (error || !keepsAlive)
         return close();
--- a/tools/peridot-backend/BackendConnection.h
+++ b/tools/peridot-backend/BackendConnection.h
@@ -73,6 +73,7 @@
     std::uint64_t m_served = 0; // Requests read on this connection.
     std::optional<JobId> m_job; // Set while the request waits or runs.
     bool m_isRunning = false;
+    bool m_isCounted = false; // The request is no probe.
     std::optional<TimePoint> m_deadline;
     std::optional<Response> m_held; // Waits for a response to be exchanged with.
     bool m_isClosed = false;
--- a/tools/peridot-load/LoadSettings.cpp
+++ b/tools/peridot-load/LoadSettings.cpp
@@ -38,7 +38,7 @@
         caller.closedLoopCallers = static_cast<std::uint32_t>(reader.integer("closed_loop_callers", 0, 10000, 0));
         caller.thinkTime = reader.milliseconds("think_time_ms", 0us, 1h, 0us);
         caller.attempts = static_cast<std::uint32_t>(reader.integer("attempts", 1, 100, 1));
-        caller.clientAddress = reader.string("client", "");
+        caller.clientAddresses = reader.strings("clients");
         reader.objects("mix", true, [&caller](JsonReader& item) { caller.mix.push_back(readKind(item)); });
         if (caller.mix.empty())
             reader.fail("mix", "at least one kind of request");
--- a/tools/peridot-load/LoadSettings.h
+++ b/tools/peridot-load/LoadSettings.h
@@ -32,7 +32,7 @@
     std::uint32_t closedLoopCallers = 0; // Closed loop with this many callers if not 0.
     Duration thinkTime { 0 }; // Closed loop only.
     std::uint32_t attempts = 1; // Sends a failed or refused request again at once, as careless scripts do.
-    std::string clientAddress; // For the look-up; empty for the connection's own.
+    std::vector<std::string> clientAddresses; // For look-ups; each request takes one at random. Empty: the own one.
     std::vector<RequestKind> mix;
 };
 
--- a/tools/peridot-load/ResponseCheck.cpp
+++ b/tools/peridot-load/ResponseCheck.cpp
@@ -24,9 +24,10 @@
             it != response.headers.end() && it->second != std::to_string(response.body.size()))
             return "wrong_length";
         const auto checksum = response.headers.find("x-content-checksum");
-        if (checksum == response.headers.end())
+        // A replayed response has lost the header; its body still names the request and shows damage.
+        if (checksum == response.headers.end() && !kind.hasIdempotencyKey)
             return "no_checksum";
-        if (checksum->second != contentChecksum(response.body))
+        if (checksum != response.headers.end() && checksum->second != contentChecksum(response.body))
             return "wrong_checksum";
         const auto head = parseCheckedBody(response.body);
         if (!head)
--- a/tools/peridot-load/WorkspaceCallers.cpp
+++ b/tools/peridot-load/WorkspaceCallers.cpp
@@ -26,6 +26,18 @@
         return { weights.begin(), weights.end() };
     }
 
+    std::vector<std::shared_ptr<LookupCache>> makeClients(
+        const std::vector<std::string>& entryAddresses, const std::vector<std::string>& clientAddresses)
+    {
+        if (clientAddresses.empty())
+            return { std::make_shared<LookupCache>(entryAddresses, "") };
+        std::vector<std::shared_ptr<LookupCache>> clients;
+        clients.reserve(clientAddresses.size());
+        for (const auto& address : clientAddresses)
+            clients.push_back(std::make_shared<LookupCache>(entryAddresses, address));
+        return clients;
+    }
+
 }
 
 std::string WorkspaceCallers::Work::echo() const
@@ -34,11 +46,14 @@
     return kind->hasIdempotencyKey ? id : id + "." + std::to_string(attempt);
 }
 
-WorkspaceCallers::WorkspaceCallers(const LoadSettings& settings, const CallerSettings& caller, std::uint64_t randomSeed)
-    : m_settings(settings)
+WorkspaceCallers::WorkspaceCallers(
+    const LoadSettings& settings, const CallerSettings& caller, const CallerRun& run, EventLog& log)
+    : m_log(log)
+    , m_runId(run.id)
+    , m_settings(settings)
     , m_caller(caller)
-    , m_lookups(std::make_shared<LookupCache>(settings.entryAddresses, caller.clientAddress))
-    , m_random(randomSeed)
+    , m_clients(makeClients(settings.entryAddresses, caller.clientAddresses))
+    , m_random(run.randomSeed)
     , m_mix(distribution(caller.mix))
     , m_reference(caller.ratePerSecond, caller.burst, monotonicTime())
 {
@@ -100,7 +115,8 @@
         }
         ++m_open;
         work->kind = &drawKind();
-        work->id = m_caller.workspace + "-" + std::to_string(m_settings.randomSeed) + "-" + std::to_string(++m_count);
+        work->lookups = m_clients[std::uniform_int_distribution<std::size_t> { 0, m_clients.size() - 1 }(m_random)];
+        work->id = m_caller.workspace + "-" + m_runId + "-" + std::to_string(++m_count);
     }
     startAttempt(work);
 }
@@ -111,7 +127,7 @@
 {
     work->started = monotonicTime();
     work->reconnects = 0;
-    m_lookups->find(
+    work->lookups->find(
         work->kind->service, [self = shared_from_this(), work](const Result<std::vector<std::string>>& addresses) {
             if (!addresses)
                 return self->finishAttempt(work, Outcome::Failed, "no_lookup");
@@ -151,12 +167,14 @@
 void WorkspaceCallers::responded(const WorkPointer& work, const std::string& address, const HttpOutcome& response)
 {
     const auto judgement = judgeResponse(response, *work->kind, work->echo());
+    if (judgement.outcome != Outcome::Completed && judgement.outcome != Outcome::RefusedInside)
+        logOutcome(*work, address, judgement, response);
     if (judgement.code == "not_connected") {
-        m_lookups->demote(work->kind->service, address);
+        work->lookups->demote(work->kind->service, address);
         // Nothing was sent, so the next address of the look-up answer may be tried for any kind of request.
         constexpr std::uint32_t mostReconnects = 3;
         if (work->reconnects++ < mostReconnects) {
-            m_lookups->find(work->kind->service,
+            work->lookups->find(work->kind->service,
                 [self = shared_from_this(), work](const Result<std::vector<std::string>>& addresses) {
                     if (addresses)
                         self->send(work, addresses->front());
@@ -169,6 +187,25 @@
     finishAttempt(work, judgement.outcome, judgement.code);
 }
 
+void WorkspaceCallers::logOutcome(
+    const Work& work, const std::string& address, const Judgement& judgement, const HttpOutcome& response)
+{
+    if (!m_log.isEnabled(LogLevel::Debug))
+        return;
+    m_log.write(LogLevel::Debug,
+        LogLine("request_not_completed")
+            .add("workspace", m_caller.workspace)
+            .add("echo", work.echo())
+            .add("address", address)
+            .add("method", work.kind->method)
+            .add("path", "/" + work.kind->service + work.kind->path)
+            .add("outcome", enumName(judgement.outcome))
+            .add("code", judgement.code)
+            .add("status", response.status)
+            .add("error", response.error)
+            .add("latency_ms", monotonicTime() - work.started));
+}
+
 void WorkspaceCallers::finishAttempt(const WorkPointer& work, Outcome outcome, const std::string& code)
 {
     const auto now = monotonicTime();
@@ -231,8 +268,14 @@
     object["rate_per_second"] = m_caller.ratePerSecond;
     object["burst"] = m_caller.burst;
     object["multiple"] = m_caller.multiple;
-    object["lookups"] = m_lookups->lookups();
-    object["failed_lookups"] = m_lookups->failedLookups();
+    std::uint64_t lookups = 0;
+    std::uint64_t failedLookups = 0;
+    for (const auto& client : m_clients) {
+        lookups += client->lookups();
+        failedLookups += client->failedLookups();
+    }
+    object["lookups"] = lookups;
+    object["failed_lookups"] = failedLookups;
     return object;
 }
 
--- a/tools/peridot-load/WorkspaceCallers.h
+++ b/tools/peridot-load/WorkspaceCallers.h
@@ -6,6 +6,8 @@
 #include "LoadStatistics.h"
 #include "LookupCache.h"
 #include "ReferenceBucket.h"
+#include "ResponseCheck.h"
+#include "base/EventLog.h"
 
 #include <condition_variable>
 #include <memory>
@@ -14,10 +16,17 @@
 
 namespace peridot {
 
+struct CallerRun {
+    // Part of every request's id. It must differ between runs: a repeated idempotency key gets the response of the
+    // earlier run.
+    std::string id;
+    std::uint64_t randomSeed = 0; // Of arrivals and mix.
+};
+
 /** Thread-safe. */
 class WorkspaceCallers : public std::enable_shared_from_this<WorkspaceCallers> {
 public:
-    WorkspaceCallers(const LoadSettings&, const CallerSettings&, std::uint64_t randomSeed);
+    WorkspaceCallers(const LoadSettings&, const CallerSettings&, const CallerRun&, EventLog&);
 
     void start();
     /** Returns once the time is over and every request has its outcome. */
@@ -31,6 +40,7 @@
     /** One request with its further attempts. */
     struct Work {
         const RequestKind* kind = nullptr;
+        std::shared_ptr<LookupCache> lookups; // Of the client that sends the request.
         std::string id;
         std::uint32_t attempt = 1;
         std::uint32_t reconnects = 0;
@@ -46,14 +56,17 @@
     void begin();
     void startAttempt(const WorkPointer&);
     void send(const WorkPointer&, const std::string& address);
-    void responded(const WorkPointer&, const std::string& address, const struct HttpOutcome&);
+    void responded(const WorkPointer&, const std::string& address, const HttpOutcome&);
+    void logOutcome(const Work&, const std::string& address, const Judgement&, const HttpOutcome&);
     void finishAttempt(const WorkPointer&, Outcome, const std::string& code);
     void end();
     const RequestKind& drawKind();
 
+    EventLog& m_log;
+    const std::string m_runId;
     const LoadSettings m_settings;
     const CallerSettings m_caller;
-    const std::shared_ptr<LookupCache> m_lookups;
+    const std::vector<std::shared_ptr<LookupCache>> m_clients; // One cache for each client; never empty.
 
     mutable std::mutex m_mutex;
     std::condition_variable m_ended;
--- a/tools/peridot-load/main.cpp
+++ b/tools/peridot-load/main.cpp
@@ -2,6 +2,7 @@
 
 #include "LoadSettings.h"
 #include "WorkspaceCallers.h"
+#include "base/EventLog.h"
 #include "program/CommandLine.h"
 
 #include <fmt/format.h>
@@ -10,6 +11,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <random>
 
 using namespace peridot;
 
@@ -40,12 +42,13 @@
     return "";
 }
 
-nlohmann::json run(const LoadSettings& settings)
+nlohmann::json run(const LoadSettings& settings, EventLog& log)
 {
+    const auto runId = fmt::format("{:08x}", std::random_device {}());
     std::vector<std::shared_ptr<WorkspaceCallers>> workspaces;
     for (const auto& caller : settings.callers) {
-        workspaces.push_back(
-            std::make_shared<WorkspaceCallers>(settings, caller, settings.randomSeed + workspaces.size()));
+        workspaces.push_back(std::make_shared<WorkspaceCallers>(
+            settings, caller, CallerRun { runId, settings.randomSeed + workspaces.size() }, log));
     }
     for (const auto& workspace : workspaces)
         workspace->start();
@@ -88,7 +91,8 @@
         return static_cast<int>(ExitCode::Success);
     }
     configureLogging(program.name, line.logLevel);
-    const auto report = run(*settings);
+    SpdlogEventLog log;
+    const auto report = run(*settings, log);
     if (const auto file = line.extra.find("json"); file != line.extra.end()) {
         std::ofstream out(file->second);
         out << report.dump(2) << '\n';
