trial: wire the Node, operators and the store into peridot-trial

Runs real Node objects over the in-memory store with faults, operators that race and callers that retry. The judge reads accepted versions out of the store at the moment of their commit.

Scaled runs keep the number of burst units of the full size: the chance that random arrivals use up a burst depends on that number.

--- a/tools/peridot-trial/src/CallerPopulation.cpp
+++ b/tools/peridot-trial/src/CallerPopulation.cpp
@@ -21,6 +21,7 @@
     // A caller that ignores the order of its list, spreads its requests over all entries.
     constexpr double carelessOrder = 0.1;
     constexpr double retryChance = 0.5;
+    constexpr double repeatChance = 0.05;
     constexpr double leaveChance = 0.01;
     constexpr double shortTimeoutChance = 0.05;
     constexpr double idempotencyKeyChance = 0.7; // Of non-idempotent requests.
@@ -344,12 +345,24 @@
             ++m_counts.completed;
             if (m_judge.hasRequest(index))
                 m_judge.received(index, m_loop.now());
+            maybeRepeat(errand);
             return;
         }
         maybeRetry(errand);
     });
 }
 
+void CallerPopulation::maybeRepeat(const ErrandRef& errand)
+{
+    // Scripts without memory send the same order again although it succeeded.
+    if (errand->idempotencyKey.empty() || errand->hasRepeated || !m_random.chance(repeatChance))
+        return;
+    errand->hasRepeated = true;
+    ++errand->nextInstance;
+    errand->startedAt = m_loop.now();
+    findInstance(errand);
+}
+
 void CallerPopulation::maybeRetry(const ErrandRef& errand)
 {
     if (errand->retries >= longestRetries || !m_random.chance(retryChance))
--- a/tools/peridot-trial/src/CallerPopulation.h
+++ b/tools/peridot-trial/src/CallerPopulation.h
@@ -71,6 +71,7 @@
         int lookupTries = 0;
         int sendTries = 0;
         int retries = 0;
+        bool hasRepeated = false; // Sent again after it succeeded.
         std::size_t nextInstance = 0; // Position in the cached list.
     };
     using ErrandRef = std::shared_ptr<Errand>;
@@ -85,6 +86,7 @@
     void arrive(const ErrandRef&, std::size_t instance, bool isSteered);
     void connectionFailed(const ErrandRef&);
     void answered(const ErrandRef&, std::size_t instance, RequestIndex, const Answer&);
+    void maybeRepeat(const ErrandRef&);
     void maybeRetry(const ErrandRef&);
     std::size_t chooseInstance(Errand&, const CachedLookup&);
     Site& siteOf(const Errand& errand) { return m_sites[errand.site]; }
--- a/tools/peridot-trial/src/EntryFleet.cpp
+++ b/tools/peridot-trial/src/EntryFleet.cpp
@@ -620,6 +620,12 @@
         || m_network.isImpaired();
 }
 
+std::string EntryFleet::status(std::size_t n) const
+{
+    const Process& it = m_processes[n];
+    return it.isUp && !it.isPaused ? it.instance->status(localNow(it)) : std::string {};
+}
+
 void EntryFleet::sample()
 {
     for (Process& it : m_processes) {
--- a/tools/peridot-trial/src/EntryFleet.h
+++ b/tools/peridot-trial/src/EntryFleet.h
@@ -100,6 +100,9 @@
     /** Replaces an instance without telling the judge, for Mutation::RevertConfiguration. */
     void replaceSecretly(std::size_t n);
 
+    /** Status of an instance that runs; empty otherwise. */
+    std::string status(std::size_t n) const;
+
     /** Shows the judge what can be seen of each instance; call it every 100 ms. */
     void sample();
 
--- a/tools/peridot-trial/src/Judge.cpp
+++ b/tools/peridot-trial/src/Judge.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 
 namespace peridot::trial {
 
@@ -14,6 +15,18 @@
     constexpr Duration recordLifetime = std::chrono::seconds { 120 };
     constexpr Duration leavingAllowance = std::chrono::seconds { 3 };
 
+    // Wrongful refusals are at most 0.1%; the constant covers the statistics of short runs.
+    constexpr double recoveryRefusalRatio = 0.001;
+    constexpr std::uint64_t recoveryRefusalBase = 5;
+
+    /** Refusals that the request itself is the reason of, or that faults long past may still cause. */
+    bool isCallersOwnDoing(const std::string& code)
+    {
+        static const std::set<std::string> codes { "duplicate_request", "deadline_unreachable", "backend_timeout",
+            "withdrawn_key" };
+        return codes.count(code) > 0;
+    }
+
     bool isRateRefusal(const std::string& code) { return code == "rate_exceeded"; }
 
 }
@@ -56,6 +69,8 @@
     if (it.sent.keyUse == KeyUse::Valid && !classOf(it).isOpen) {
         const auto rate = m_rates.find(m_deployment.workspaces[it.sent.workspace].id);
         it.isWithinRate = rate != m_rates.end() && rate->second.offer(it.sent.sentAt);
+        it.isInRecovery = m_expectsRecovery && it.isWithinRate;
+        m_recoverySent += it.isInRecovery ? 1 : 0;
     }
     m_records.push_back(std::move(it));
     return m_firstIndex + m_records.size() - 1;
@@ -142,6 +157,8 @@
 void Judge::countRefusal(const Record& it, RequestIndex index, const Answer& answer, VirtualTime now)
 {
     ++m_counts.refusals[answer.code];
+    if (it.isInRecovery && !isCallersOwnDoing(answer.code))
+        ++m_recoveryRefusals[answer.code];
     if (!isRateRefusal(answer.code)) {
         ++m_counts.otherRefusals;
         return;
@@ -305,8 +322,24 @@
     dropOld(now);
 }
 
+void Judge::checkRecovery(VirtualTime now)
+{
+    std::uint64_t refused = 0;
+    std::string codes;
+    for (const auto& [code, count] : m_recoveryRefusals) {
+        refused += count;
+        codes += fmt::format(" {}={}", code, count);
+    }
+    const auto allowed
+        = recoveryRefusalBase + static_cast<std::uint64_t>(recoveryRefusalRatio * static_cast<double>(m_recoverySent));
+    m_verdict.check(Rule::Recovery, refused <= allowed, now,
+        [&] { return fmt::format("sent={} allowed={} refused={}{}", m_recoverySent, allowed, refused, codes); });
+}
+
 void Judge::finish(VirtualTime now)
 {
+    if (m_expectsRecovery)
+        checkRecovery(now);
     for (std::size_t n = 0; n < m_records.size(); ++n)
         checkAnswered(m_records[n], m_firstIndex + n, now);
 }
--- a/tools/peridot-trial/src/Judge.h
+++ b/tools/peridot-trial/src/Judge.h
@@ -146,6 +146,9 @@
     /** Turns on the check that no request within its rate is refused for its rate. */
     void expectNoWrongfulRefusals() { m_expectsNoWrongfulRefusals = true; }
 
+    /** From now on no fault is in force and those before have had time to heal. */
+    void expectRecovery() { m_expectsRecovery = true; }
+
     const SentRequest& request(RequestIndex index) const { return record(index).sent; }
     bool hasRequest(RequestIndex index) const noexcept;
     const AcceptedConfiguration& accepted() const { return m_accepted; }
@@ -164,6 +167,7 @@
         std::uint32_t attempts = 0;
         bool hasLeft = false;
         bool isWithinRate = false;
+        bool isInRecovery = false;
     };
 
     struct SeenVersion {
@@ -180,6 +184,7 @@
     void checkKey(const Record&, RequestIndex, VirtualTime now);
     void checkVersion(const SeenDispatch&, VirtualTime now);
     void countRefusal(const Record&, RequestIndex, const Answer&, VirtualTime now);
+    void checkRecovery(VirtualTime now);
     void checkAnswered(const Record&, RequestIndex, VirtualTime now);
     void dropOld(VirtualTime now);
 
@@ -190,6 +195,9 @@
     LoadWatch m_load;
     ShiftWatch m_shifts;
     bool m_expectsNoWrongfulRefusals = false;
+    bool m_expectsRecovery = false;
+    std::uint64_t m_recoverySent = 0; // Requests within their rate since expectRecovery().
+    std::map<std::string, std::uint64_t> m_recoveryRefusals; // Those of them that were refused, by code.
 
     std::deque<Record> m_records; // The request with index n stands at n - m_firstIndex.
     RequestIndex m_firstIndex = 0;
--- a/tools/peridot-trial/src/Mutator.cpp
+++ b/tools/peridot-trial/src/Mutator.cpp
@@ -1,16 +1,68 @@
 #include "Mutator.h"
 
+#include "config/HeadRow.h"
+
+#include <algorithm>
+
 namespace peridot::trial {
 
 namespace {
 
     constexpr std::uint64_t mutatedAnswerInterval = 50;
-    const char* const headRow = "config/head";
+    constexpr Duration hiddenFor = std::chrono::seconds { 10 };
+
+}
+
+const Mutator::SeenHead& Mutator::staleHead() const
+{
+    auto it = m_heads.rbegin();
+    while (std::next(it) != m_heads.rend() && m_loop.now() - it->since < hiddenFor)
+        ++it;
+    return *it;
+}
 
+void Mutator::hideHead(TableRow& row)
+{
+    const auto head = HeadRow::parse(row.value);
+    if (!head)
+        return;
+    if (m_heads.empty() || m_heads.back().version < head->version)
+        m_heads.push_back({ m_loop.now(), row, head->version });
+    row = staleHead().row;
+}
+
+void Mutator::hideVersions(PeerMessage& message) const
+{
+    if (m_heads.empty())
+        return;
+    const ConfigurationVersion shown = staleHead().version;
+    const auto hide = [shown](ConfigurationVersion& version) { version = std::min(version, shown); };
+    if (auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+        hide(heartbeat->configurationVersion);
+        hide(heartbeat->highestVersion);
+        hide(heartbeat->evidence.version);
+    } else if (auto* reply = std::get_if<HeartbeatReply>(&message)) {
+        hide(reply->highestVersion);
+        hide(reply->witnessedVersion);
+        hide(reply->lowestVersion);
+        for (DomainSummary& it : reply->domains)
+            hide(it.lowestVersion);
+        hide(reply->evidence.version);
+    } else if (auto* digest = std::get_if<Digest>(&message)) {
+        hide(digest->highestVersion);
+        hide(digest->evidence.version);
+    } else if (auto* pull = std::get_if<DigestPull>(&message)) {
+        hide(pull->highestVersion);
+    } else if (auto* object = std::get_if<ConfigurationObject>(&message); object && object->version > shown) {
+        object->version = shown;
+        object->body.clear();
+    }
 }
 
 void Mutator::changeMessage(PeerMessage& message) const
 {
+    if (m_mutation == Mutation::HideConfiguration)
+        hideVersions(message);
     auto* grant = std::get_if<BudgetGrant>(&message);
     if (!grant || m_mutation != Mutation::DoubleGrant)
         return;
@@ -24,11 +76,8 @@
         return;
     if (auto* rows = std::get_if<TableRows>(&*result); rows && m_mutation == Mutation::HideConfiguration) {
         for (TableRow& row : rows->rows) {
-            if (row.key != headRow)
-                continue;
-            if (!m_firstHead)
-                m_firstHead = row;
-            row = *m_firstHead;
+            if (row.key == configurationHeadKey)
+                hideHead(row);
         }
     }
     if (auto* list = std::get_if<InstanceList>(&*result); list && m_mutation == Mutation::HideLeaving) {
--- a/tools/peridot-trial/src/Mutator.h
+++ b/tools/peridot-trial/src/Mutator.h
@@ -2,27 +2,27 @@
 
 #pragma once
 
+#include "EventLoop.h"
 #include "TrialOptions.h"
 
 #include "peridot/Node.h"
 
 #include <cstdint>
-#include <map>
-#include <optional>
-#include <string>
+#include <vector>
 
 namespace peridot::trial {
 
 class Mutator {
 public:
-    explicit Mutator(Mutation mutation) noexcept
+    Mutator(Mutation mutation, const EventLoop& loop) noexcept
         : m_mutation(mutation)
+        , m_loop(loop)
     {
     }
 
     bool is(Mutation mutation) const noexcept { return m_mutation == mutation; }
 
-    /** DoubleGrant. */
+    /** DoubleGrant and HideConfiguration. */
     void changeMessage(PeerMessage&) const;
     /** HideConfiguration and HideLeaving. */
     void changeStoreResult(StoreResult&);
@@ -34,8 +34,20 @@
     void changeReplay(RecordedResponse&) const;
 
 private:
+    struct SeenHead {
+        VirtualTime since;
+        TableRow row;
+        ConfigurationVersion version;
+    };
+
+    /** The newest head row that was read long enough ago. */
+    const SeenHead& staleHead() const;
+    void hideVersions(PeerMessage&) const;
+    void hideHead(TableRow&);
+
     Mutation m_mutation;
-    std::optional<TableRow> m_firstHead;
+    const EventLoop& m_loop;
+    std::vector<SeenHead> m_heads; // Ascending; those that some read has returned.
     std::uint64_t m_answers = 0;
 };
 
--- a/tools/peridot-trial/src/SteeringInstance.h
+++ b/tools/peridot-trial/src/SteeringInstance.h
@@ -4,7 +4,7 @@
 
 #include "peridot/Node.h"
 
-#include <memory>
+#include <string>
 
 namespace peridot::trial {
 
@@ -25,6 +25,8 @@
     virtual bool hasDrained(TimePoint now) const = 0;
     virtual InstanceState state() const = 0;
     virtual ConfigurationVersion configurationVersion() const = 0;
+    /** What operators see of the instance; empty for baselines. */
+    virtual std::string status(TimePoint) const { return {}; }
 };
 
 }
--- a/tools/peridot-trial/src/Trial.cpp
+++ b/tools/peridot-trial/src/Trial.cpp
@@ -3,10 +3,14 @@
 #include "BackendFarm.h"
 #include "BaselineInstance.h"
 #include "CallerPopulation.h"
+#include "ConfigurationWatch.h"
 #include "EntryFleet.h"
 #include "FaultSchedule.h"
+#include "FileEventLog.h"
 #include "Mutator.h"
 #include "Network.h"
+#include "NodeInstance.h"
+#include "Operators.h"
 #include "Platform.h"
 
 #include <fmt/format.h>
@@ -27,10 +31,15 @@
     constexpr Duration sampleInterval = milliseconds { 100 };
     // After the last request: the longest fault, the longest timeout of a request, and the time to recover.
     constexpr Duration settleTime = longestFault + seconds { 20 };
+    constexpr Duration statusInterval = seconds { 5 };
     // Demand counts as steady once it has been there for this long.
     constexpr Duration steadyAfter = seconds { 10 };
-    // Burst of a workspace, as seconds of its rate.
-    constexpr double burstSeconds = 1;
+    // Burst of a workspace at full size, as seconds of its rate. A run with fewer requests keeps the number of units:
+    // the chance that random arrivals use up a burst depends on that number.
+    constexpr double fullSizeBurstSeconds = 1;
+    // Faults end this long before the last request: the longest one, the time to heal, and the time that is judged.
+    constexpr Duration healTime = longestFault + seconds { 20 };
+    constexpr Duration judgedTime = seconds { 20 };
 
     /** Wires one run. Members are in the order in which they are built. */
     class Run {
@@ -41,23 +50,30 @@
 
     private:
         EntryFleet::InstanceFactory factory();
-        AcceptedConfiguration firstConfiguration();
+        void installConfiguration();
+        EventLog& logOf(const NodeSettings&);
         void sample();
+        void logStatus();
+        void startFaults(VirtualTime end);
 
         TrialOptions m_options;
         Deployment m_deployment;
         EventLoop m_loop;
+        NullEventLog m_noLog;
+        std::map<std::string, std::unique_ptr<FileEventLog>> m_logs; // By instance.
         Verdict m_verdict;
         Judge m_judge;
         Network m_network;
         Platform m_platform;
         BackendFarm m_farm;
+        ConfigurationWatch m_watch;
         Mutator m_mutator;
         CallerKeys m_keys;
         BaselineKnowledge m_knowledge;
         EntryFleet m_fleet;
         CallerPopulation m_callers;
         FaultSchedule m_faults;
+        Operators m_operators;
     };
 
     std::size_t homeRegionOf(const std::string& address)
@@ -84,37 +100,51 @@
         , m_network(m_deployment, options.seed)
         , m_platform(m_loop, m_network, options.seed)
         , m_farm(m_deployment, m_loop, m_network, m_platform, m_judge, options.seed)
-        , m_mutator(options.mutation)
+        , m_watch(m_platform, m_judge, m_verdict)
+        , m_mutator(options.mutation, m_loop)
         , m_keys(m_deployment.workspaces.size())
         , m_knowledge { m_deployment, m_judge.accepted(), 0, [this] { return m_loop.now(); }, homeRegionOf }
         , m_fleet(m_deployment, m_loop, m_network, m_platform, m_farm, m_judge, m_mutator, factory(),
               CallerPopulation::blocks(m_deployment), options.seed)
         , m_callers(m_deployment, m_loop, m_network, m_fleet, m_judge, m_keys, m_options)
         , m_faults(options, m_deployment, m_loop, m_network, m_platform, m_farm, m_fleet, m_callers)
+        , m_operators(
+              m_deployment, m_loop, m_network, m_fleet, m_callers, m_keys, m_watch, m_judge, m_verdict, options.seed)
     {
         m_knowledge.instances = m_fleet.size();
     }
 
+    EventLog& Run::logOf(const NodeSettings& settings)
+    {
+        if (m_options.logPath.empty())
+            return m_noLog;
+        const std::string& name = settings.self.id.value();
+        return *m_logs.try_emplace(name, std::make_unique<FileEventLog>(m_options.logPath, name, m_loop)).first->second;
+    }
+
     EntryFleet::InstanceFactory Run::factory()
     {
         return [this](const NodeSettings& settings) -> std::unique_ptr<SteeringInstance> {
+            if (m_options.policy == Policy::Node)
+                return std::make_unique<NodeInstance>(settings, logOf(settings));
             return std::make_unique<BaselineInstance>(baselinePolicy(m_options.policy), m_knowledge, settings);
         };
     }
 
-    AcceptedConfiguration Run::firstConfiguration()
+    void Run::installConfiguration()
     {
-        AcceptedConfiguration configuration;
-        configuration.version = 1;
-        for (std::size_t n = 0; n < m_deployment.workspaces.size(); ++n) {
-            const std::string& workspace = m_deployment.workspaces[n].id;
-            const double rate = std::ceil(m_callers.demand(n) * rateOverDemand);
-            configuration.workspaces[workspace] = { rate, std::max(10.0, std::ceil(rate * burstSeconds)) };
-            for (int key = 1; key <= 2; ++key)
-                configuration.keys[fmt::format("k-{}-{}", workspace, key)] = workspace;
-            m_keys.setCurrent(n, fmt::format("k-{}-1", workspace));
-        }
-        return configuration;
+        const auto limitOf = [this](std::size_t workspace) {
+            const double rate = std::ceil(m_callers.demand(workspace) * rateOverDemand);
+            const double burstSeconds = m_options.burstSeconds > 0
+                ? m_options.burstSeconds
+                : fullSizeBurstSeconds / (m_options.load * m_options.slotScale);
+            return AcceptedConfiguration::Limit { rate, std::max(10.0, std::ceil(rate * burstSeconds)) };
+        };
+        m_watch.install(firstConfiguration(m_deployment, limitOf), m_loop.now());
+        m_platform.observeCommits(
+            [this](const TableCommit& commit, VirtualTime now) { m_watch.committed(commit, now); });
+        for (std::size_t n = 0; n < m_deployment.workspaces.size(); ++n)
+            m_keys.setCurrent(n, fmt::format("k-{}-1", m_deployment.workspaces[n].id));
     }
 
     void Run::sample()
@@ -124,15 +154,38 @@
         m_loop.after(sampleInterval, [this] { sample(); });
     }
 
+    void Run::logStatus()
+    {
+        for (std::size_t n = 0; n < m_fleet.size(); ++n) {
+            FileEventLog log(m_options.logPath, m_fleet.process(n).name, m_loop);
+            log.write(LogLevel::Info, LogLine("status").add("body", m_fleet.status(n)));
+        }
+        m_loop.after(statusInterval, [this] { logStatus(); });
+    }
+
+    void Run::startFaults(VirtualTime end)
+    {
+        const VirtualTime lastFault = end - healTime - judgedTime;
+        const bool hasTimeToHeal = !m_options.faults.empty() && lastFault > startUp + judgedTime;
+        const VirtualTime faultEnd = hasTimeToHeal ? lastFault : end;
+        m_faults.start(startUp, faultEnd);
+        if (m_options.policy == Policy::Node && m_options.faults.count(Fault::OperatorChanges) > 0)
+            m_operators.start(startUp, faultEnd);
+        if (hasTimeToHeal)
+            m_loop.at(end - judgedTime, [this] { m_judge.expectRecovery(); });
+    }
+
     TrialResult Run::result()
     {
-        m_judge.configurationAccepted(firstConfiguration(), m_loop.now());
+        installConfiguration();
         m_farm.start();
         m_fleet.start();
         sample();
+        if (!m_options.logPath.empty())
+            logStatus();
         const VirtualTime end = startUp + m_options.length;
         m_loop.at(startUp, [this, end] { m_callers.start(end); });
-        m_faults.start(startUp, end);
+        startFaults(end);
         if (m_options.scenario == Scenario::Steady && m_options.faults.empty())
             m_loop.at(startUp + steadyAfter, [this] { m_judge.expectNoWrongfulRefusals(); });
         try {
@@ -156,6 +209,8 @@
         it.lookupsRefused = callers.lookupsRefused;
         it.storeReads = m_platform.reads();
         it.storeWrites = m_platform.writes();
+        it.changesAccepted = m_operators.counts().accepted;
+        it.changesRefused = m_operators.counts().refused;
         it.events = m_loop.executed();
         const LatencyHistogram latency = m_judge.measures().all();
         it.p50Ms = latency.quantileMs(0.5);
--- a/tools/peridot-trial/src/TrialOptions.cpp
+++ b/tools/peridot-trial/src/TrialOptions.cpp
@@ -43,14 +43,16 @@
             { "slots", { &TrialOptions::slotScale, 0.05, 4 } },
             { "fault_interval", { &TrialOptions::faultInterval, 0.5, 3600 } },
             { "response_kb", { &TrialOptions::responseKilobytes, 0, 100000 } },
+            { "burst_s", { &TrialOptions::burstSeconds, 0, 3600 } },
             { "shift_cap", { &TrialOptions::shiftCap, 0, 1e9 } },
         };
         const auto equals = text.find('=');
         const auto it = settings.find(text.substr(0, equals));
         if (equals == std::string::npos || it == settings.end())
             return makeError(ErrorCode::InvalidArgument, step, "",
-                fmt::format(
-                    "--set: found \"{}\", expected load=, slots=, fault_interval=, response_kb= or shift_cap=", text));
+                fmt::format("--set: found \"{}\", expected load=, slots=, fault_interval=, response_kb=, burst_s= or "
+                            "shift_cap=",
+                    text));
         double value = 0;
         std::istringstream stream(text.substr(equals + 1));
         const auto& [member, lowest, highest] = it->second;
@@ -173,6 +175,8 @@
         enumName(options.scenario), faults);
     text += fmt::format(" --set load={} --set slots={} --set fault_interval={} --set response_kb={}", options.load,
         options.slotScale, options.faultInterval, options.responseKilobytes);
+    if (options.burstSeconds > 0)
+        text += fmt::format(" --set burst_s={}", options.burstSeconds);
     if (options.shiftCap > 0)
         text += fmt::format(" --set shift_cap={}", options.shiftCap);
     if (options.mutation != Mutation::None)
--- a/tools/peridot-trial/src/TrialOptions.h
+++ b/tools/peridot-trial/src/TrialOptions.h
@@ -64,7 +64,7 @@
     None,
     DoubleGrant, // Doubles the units of each grant on its way.
     DoubleDispatch, // Sends each non-idempotent request to two backend servers.
-    HideConfiguration, // Store reads of the head row are answered with the first version.
+    HideConfiguration, // Reads of the head row and messages hide a new version for 10 s.
     ForgeKey, // Presents a valid key in place of a wrong one.
     ClaimNotRun, // Rewrites `unknown` in refusals to `not_run`.
     HideLeaving, // Shows leaving backend servers as live.
@@ -168,6 +168,7 @@
     double slotScale = 0.25; // Part of the slots and of the link capacity that exists.
     double faultInterval = 20; // Mean seconds between two faults.
     double responseKilobytes = 100; // Mean size of a response.
+    double burstSeconds = 0; // Burst as seconds of the rate; 0 takes as many units as at full size.
     double shiftCap = 0; // Look-ups per second; 0 takes the cap from the deployment.
     bool isVerbose = false; // Prints every violation instead of the first ones.
 };
--- a/tools/peridot-trial/src/Verdict.h
+++ b/tools/peridot-trial/src/Verdict.h
@@ -31,6 +31,7 @@
     ShiftCap, // Shifted look-ups grow no faster than the cap.
     Replay, // A replayed response belongs to the request's idempotency key.
     SteadyRefusal, // Steady demand below 90% of the rate is never refused for its rate.
+    Recovery, // Some time after the last fault requests within their rate are served again.
     Assertion, // PERIDOT_ASSERT threw.
 };
 
@@ -39,7 +40,7 @@
 namespace peridot {
 
 template <>
-inline constexpr EnumNameTable<trial::Rule, 17> enumNames<trial::Rule> { {
+inline constexpr EnumNameTable<trial::Rule, 18> enumNames<trial::Rule> { {
     { trial::Rule::Rate, "rate" },
     { trial::Rule::DoubleRun, "double_run" },
     { trial::Rule::FalseNotRun, "false_not_run" },
@@ -56,6 +57,7 @@
     { trial::Rule::ShiftCap, "shift_cap" },
     { trial::Rule::Replay, "replay" },
     { trial::Rule::SteadyRefusal, "steady_refusal" },
+    { trial::Rule::Recovery, "recovery" },
     { trial::Rule::Assertion, "assertion" },
 } };
 
