membership: run a randomised trial and mend what it found

Sequence numbers of heartbeats restarted per relay, so a relay took them for repeated ones; a relay that knew less than its members emptied their lists; a relay by mistake removed members that answered it but send their heartbeats elsewhere; a member met again by a probe was forgotten while inactive. Change: one sequence per member agent; lists from the platform only are not handed out; answers count as signs of life; fellow relays exchange unknown members; silent domains take new addresses from the platform's list.

--- a/libs/membership/include/membership/MemberAgent.h
+++ b/libs/membership/include/membership/MemberAgent.h
@@ -58,7 +58,6 @@
     };
 
     struct Relay {
-        std::uint64_t sequence = 0; // Of the newest heartbeat.
         std::uint64_t answered = 0; // Highest answered sequence.
         std::map<std::uint64_t, Sent> open; // Heartbeats without an answer, from the last seconds.
         std::uint64_t token = 0;
@@ -90,6 +89,8 @@
     ConfigurationVersion m_highest = 0; // Never below m_inForce.
     ConfigurationVersion m_lowest = 0;
     bool m_saidReachable = false;
+    // Rises over all relays: one that is asked again after it left the view must not take heartbeats for repeated ones.
+    std::uint64_t m_sequence = 0;
     TimePoint m_next;
     std::optional<TimePoint> m_introduced; // Start of the introduction.
 };
--- a/libs/membership/include/membership/RelayAgent.h
+++ b/libs/membership/include/membership/RelayAgent.h
@@ -34,6 +34,8 @@
     /** @p address is where the sender takes messages. */
     Digest receive(const DigestPull&, const std::string& address, TimePoint now);
     void receive(const Digest&, TimePoint now);
+    /** A member of the own domain has answered, which shows that it lives even if it sends its heartbeats elsewhere. */
+    void answered(const InstanceId& member, TimePoint now);
     /** This process was paused; silence during the pause says nothing about others. */
     void resumed(TimePoint now);
 
@@ -53,6 +55,7 @@
         bool isReachable = false;
         ConfigurationVersion version = 0; // In force.
         std::vector<ServiceLoad> loads;
+        std::uint64_t viewReplies = 0; // Counts towards MembershipSettings::loadsEvery.
     };
 
     /** What a relay said about the store on behalf of its domain. */
@@ -66,7 +69,8 @@
         TimePoint sent;
         ConfigurationVersion highest = 0;
         bool saidReachable = false;
-        InstanceId probed; // Set if the pull only asks whether this removed member is back.
+        InstanceId target;
+        bool isProbe = false; // Only asks whether a removed member is back.
     };
 
     /** A removed member. It may have been cut off with relays of its own, which then do not know this one either. */
@@ -100,11 +104,14 @@
     void probeLost(TimePoint now, std::vector<Send>&);
     /** Pulls from the sender from now on if the relay that is pulled does not answer. */
     void followTakeover(const DigestPull&, TimePoint now);
+    /** Lists a member that has not sent a heartbeat yet; it has the usual time to do so. */
+    void meet(const MemberInfo&, TimePoint now);
+    void meetMembersOf(const DomainSummary&, TimePoint now);
     void meetFellow(const DigestPull&, const std::string& address, TimePoint now);
     /** Pulls soon, at most ten times per second. */
     void hurry(TimePoint now) noexcept;
     void recordHeartbeat(const Heartbeat&, TimePoint now);
-    std::vector<DomainSummary> viewFor(const Heartbeat&, TimePoint now) const;
+    std::vector<DomainSummary> viewFor(const Heartbeat&, TimePoint now);
     bool isOwnDomainReachable() const;
     bool isPeerReachable(TimePoint now) const;
     /** By the heartbeats of the members; empty if one of them has made no statement yet. */
--- a/libs/membership/src/LiveView.cpp
+++ b/libs/membership/src/LiveView.cpp
@@ -75,6 +75,7 @@
         version.contentHash -= hashMember(it->second);
     }
     record(info.failureDomain, target, info.id);
+    m_removed.erase(info.id);
     version.contentHash += hashMember(info);
     target.members.insert_or_assign(info.id, info);
     m_domainOf.insert_or_assign(info.id, info.failureDomain);
@@ -173,8 +174,9 @@
 {
     auto& target = domain(instance.failureDomain, instance.region);
     const InstanceId id(instance.name);
-    if ((target.isConfirmed && instance.failureDomain != relayedDomain) || target.members.contains(id)
-        || m_removed.contains(id))
+    // All instances of a silent domain may have been replaced meanwhile, so the list's are tried as well.
+    const bool isListUseful = !target.isConfirmed || target.version.isSilent || instance.failureDomain == relayedDomain;
+    if (!isListUseful || target.members.contains(id) || m_removed.contains(id))
         return;
     MemberInfo info;
     info.id = id;
--- a/libs/membership/src/MemberAgent.cpp
+++ b/libs/membership/src/MemberAgent.cpp
@@ -85,7 +85,7 @@
 {
     Heartbeat message;
     message.sender = m_self;
-    message.sequence = ++relay.sequence;
+    message.sequence = ++m_sequence;
     message.replyToken = relay.token;
     message.configurationVersion = m_inForce;
     message.highestVersion = m_highest;
@@ -98,7 +98,7 @@
             message.known = m_view.known();
     }
     message.loads = m_loads;
-    relay.open.emplace(relay.sequence, Sent { now, message.store.isReachable });
+    relay.open.emplace(message.sequence, Sent { now, message.store.isReachable });
     if (!relay.unansweredSince)
         relay.unansweredSince = now;
     return message;
--- a/libs/membership/src/Membership.cpp
+++ b/libs/membership/src/Membership.cpp
@@ -76,7 +76,10 @@
                    [&](const DigestPull& value) {
                        sends.push_back({ from, address, m_relay.receive(value, address, now) });
                    },
-                   [&](const HeartbeatReply& value) { m_member.receive(from, value, !m_relay.isActive(), now); },
+                   [&](const HeartbeatReply& value) {
+                       m_relay.answered(from, now);
+                       m_member.receive(from, value, !m_relay.isActive(), now);
+                   },
                    [&](const Digest& value) { m_relay.receive(value, now); },
                },
         message);
--- a/libs/membership/src/RelayAgent.cpp
+++ b/libs/membership/src/RelayAgent.cpp
@@ -88,6 +88,12 @@
         m_activeSince.reset();
 }
 
+void RelayAgent::answered(const InstanceId& id, TimePoint now)
+{
+    if (const auto it = m_members.find(id); it != m_members.end())
+        it->second.lastHeard = now;
+}
+
 void RelayAgent::resumed(TimePoint now) { m_resumed = now; }
 
 void RelayAgent::removeSilentMembers(const SilentRelays& silent, TimePoint now)
@@ -239,13 +245,11 @@
     message.sequence = m_nextSequence++;
     message.highestVersion = m_highest;
     message.isStoreReachable = isOwnDomainReachable();
-    if (id != m_self.failureDomain) {
+    if (id != m_self.failureDomain)
         message.known.push_back(m_view.known(id));
-        message.known.push_back(m_view.known(m_self.failureDomain));
-    }
+    message.known.push_back(m_view.known(m_self.failureDomain));
     m_peers[id].lastPull = now;
-    m_open.emplace(message.sequence,
-        OpenPull { id, now, m_highest, message.isStoreReachable, isProbe ? target.id : InstanceId {} });
+    m_open.emplace(message.sequence, OpenPull { id, now, m_highest, message.isStoreReachable, target.id, isProbe });
     sends.push_back({ target.id, target.peerAddress, std::move(message) });
 }
 
@@ -281,7 +285,6 @@
     auto& member = m_members[message.sender.id];
     if (member.incarnation == message.sender.incarnation && message.sequence <= member.sequence)
         return; // Repeated or overtaken.
-    m_lost.erase(message.sender.id);
     member.incarnation = message.sender.incarnation;
     member.sequence = message.sequence;
     member.lastHeard = now;
@@ -299,20 +302,27 @@
         m_highest = message.highestVersion;
         hurry(now); // A writer may be waiting until other domains know its version.
     }
-    if (m_activeSince)
+    if (m_activeSince) {
         m_view.put(message.sender);
+        m_lost.erase(message.sender.id);
+    }
     updateReachability(now);
 }
 
-std::vector<DomainSummary> RelayAgent::viewFor(const Heartbeat& message, TimePoint now) const
+std::vector<DomainSummary> RelayAgent::viewFor(const Heartbeat& message, TimePoint now)
 {
     std::map<FailureDomainId, DomainSummary> summaries;
     if (!message.known.empty()) {
         std::map<FailureDomainId, KnownView> known;
-        for (const auto& [id, domain] : m_view.domains())
-            known[id] = { id, {} };
-        for (const auto& item : message.known)
-            known[item.failureDomain] = item;
+        // A list that this relay has from the platform only must not replace what the member knows.
+        for (const auto& [id, domain] : m_view.domains()) {
+            if (domain.isConfirmed || id == m_self.failureDomain)
+                known[id] = { id, {} };
+        }
+        for (const auto& item : message.known) {
+            if (const auto it = known.find(item.failureDomain); it != known.end())
+                it->second = item;
+        }
         for (const auto& [id, item] : known) {
             if (m_view.known(id).version != item.version)
                 summaries.emplace(id, m_view.changesSince(item));
@@ -321,7 +331,7 @@
         for (auto& summary : *changes)
             summaries.emplace(summary.failureDomain, std::move(summary));
     }
-    if (message.sequence % m_settings.loadsEvery == 0) {
+    if (m_members[message.sender.id].viewReplies++ % m_settings.loadsEvery == 0) {
         for (const auto& [id, domain] : m_view.domains()) {
             auto report = m_view.report(id, now);
             auto& summary = summaries.try_emplace(id, report).first->second;
@@ -405,11 +415,26 @@
     info.region = m_self.region;
     info.failureDomain = m_self.failureDomain;
     info.peerAddress = address;
-    m_members[message.sender] = Member {};
-    m_members[message.sender].lastHeard = now;
+    meet(info, now);
+}
+
+void RelayAgent::meet(const MemberInfo& info, TimePoint now)
+{
+    m_members[info.id] = Member {};
+    m_members[info.id].lastHeard = now;
     m_view.put(info);
 }
 
+void RelayAgent::meetMembersOf(const DomainSummary& summary, TimePoint now)
+{
+    const auto* own = m_view.findDomain(m_self.failureDomain);
+    for (const auto& info : summary.members) {
+        // What this relay has removed, its fellow has not removed yet or will be met again by the probes.
+        if (!own->members.contains(info.id) && !m_lost.contains(info.id))
+            meet(info, now);
+    }
+}
+
 void RelayAgent::receive(const Digest& message, TimePoint now)
 {
     const auto open = m_open.find(message.sequence);
@@ -419,16 +444,15 @@
     m_open.erase(open);
     m_evidence.learn(message.evidence, pull.sent);
     m_highest = std::max(m_highest, message.highestVersion);
-    if (const auto lost = m_lost.find(pull.probed); lost != m_lost.end()) {
-        m_members[pull.probed] = Member {};
-        m_members[pull.probed].lastHeard = now;
-        if (m_activeSince)
-            m_view.put(lost->second.info);
+    const bool isFellow = pull.domain == m_self.failureDomain;
+    if (isFellow)
+        answered(pull.target, now);
+    if (const auto lost = m_lost.find(pull.target); lost != m_lost.end() && m_activeSince) {
+        meet(lost->second.info, now);
         m_lost.erase(lost);
     }
-    if (!pull.probed.isEmpty())
+    if (pull.isProbe)
         return;
-    const bool isFellow = pull.domain == m_self.failureDomain;
     if (!isFellow) {
         m_witnessedVersion = std::max(m_witnessedVersion, pull.highest);
         if (pull.saidReachable)
@@ -445,7 +469,9 @@
             continue;
         peer.attestation = Attestation { summary.store.isReachable || message.isPeerReachable,
             pull.sent - withDrift(summary.store.age) };
-        if (!isFellow)
+        if (isFellow)
+            meetMembersOf(summary, now);
+        else
             m_view.apply(summary, now);
     }
 }
--- a/libs/membership/tests/Fleet.cpp
+++ b/libs/membership/tests/Fleet.cpp
@@ -61,7 +61,8 @@
     instance.clockOffset = std::chrono::seconds { 1 + m_random() % 100'000 };
     // Half of the tolerated difference each way.
     instance.clockRate = 1.0 + (random() - 0.5) * maximumClockDriftPercent / 100.0;
-    instance.membership = std::make_unique<Membership>(m_settings.membership, instance.info, m_random(), m_log);
+    instance.membership = std::make_unique<Membership>(
+        m_settings.membership, instance.info, m_random(), m_settings.log ? *m_settings.log : m_noLog);
     std::vector<ServiceLoad> loads;
     for (std::size_t i = 0; i < m_settings.services; ++i)
         loads.push_back({ ServiceId("service" + std::to_string(i)), 128, 40, 3 });
@@ -175,7 +176,8 @@
         readList(index);
     }
     stepWrite(index);
-    fetchNewer(index);
+    if (instance.membership) // The test may have killed it when its change was accepted.
+        fetchNewer(index);
 }
 
 void Fleet::check(std::size_t index)
@@ -238,8 +240,12 @@
             instance->traffic.bytes += bytes + transportBytes;
         }
     }
-    if (!isConnected(sender, receiver) || random() < m_loss)
+    if (!isConnected(sender, receiver) || random() < m_loss) {
+        const auto* message = std::get_if<MembershipMessage>(&payload);
+        if (const auto* pull = message ? std::get_if<DigestPull>(message) : nullptr)
+            forgeAttestation(from, to, *pull);
         return;
+    }
     const auto shared = std::make_shared<const Payload>(std::move(payload));
     const int copies = random() < m_duplication ? 2 : 1;
     for (int i = 0; i < copies; ++i)
@@ -268,6 +274,20 @@
     }
 }
 
+void Fleet::forgeAttestation(std::size_t from, std::size_t to, const DigestPull& pull)
+{
+    if (m_settings.mutation != FleetMutation::SilentDomainsCount || pull.known.empty())
+        return;
+    Digest digest;
+    digest.sequence = pull.sequence;
+    DomainSummary summary;
+    summary.failureDomain = m_instances[to].info.failureDomain;
+    summary.region = m_instances[to].info.region;
+    digest.domains.push_back(std::move(summary));
+    m_events.push({ m_now + m_settings.delayBetweenRegions, m_nextOrder++, from, 0, from, {},
+        std::make_shared<const Payload>(MembershipMessage(std::move(digest))) });
+}
+
 void Fleet::deliver(const Event& event)
 {
     auto& instance = m_instances[event.to];
--- a/libs/membership/tests/Fleet.h
+++ b/libs/membership/tests/Fleet.h
@@ -26,7 +26,7 @@
     RelayVouchesAlone, // A relay that cannot reach the store says storeUnavailable for all.
     AgesAreDropped, // Evidence in replies always claims to be new.
     AcceptsAlone, // A writer reports "accepted" without waiting until peers know the version.
-    DomainsAreForgotten, // A relay stops requiring attestations of domains that do not answer.
+    SilentDomainsCount, // The attestation of a domain that does not answer is taken as given.
 };
 
 struct FleetSettings {
@@ -42,6 +42,7 @@
     std::size_t services = 3;
     FleetMutation mutation = FleetMutation::None;
     bool measuresCpu = false;
+    EventLog* log = nullptr; // For tracing a failure.
 };
 
 struct Traffic {
@@ -157,6 +158,7 @@
     void send(std::size_t from, std::size_t to, Payload);
     void sendAll(std::size_t from, std::vector<MembershipSend>);
     void mutate(std::size_t from, MembershipMessage&);
+    void forgeAttestation(std::size_t from, std::size_t to, const DigestPull&);
     void deliver(const Event&);
     void receive(std::size_t index, std::size_t from, const Payload&);
     void storeCall(std::size_t index, std::function<Payload()> effect);
@@ -173,7 +175,7 @@
 
     FleetSettings m_settings;
     std::mt19937_64 m_random;
-    NullEventLog m_log;
+    NullEventLog m_noLog;
     TimePoint m_now { std::chrono::seconds { 1 } };
     std::vector<RegionId> m_regions;
     std::vector<FailureDomainId> m_domains;
