--- a/run-demo.sh
+++ b/run-demo.sh
@@ -53,6 +53,7 @@
 scripts/make-entry-settings.sh "$deployment" "$work"
 cp deployments/"$deployment"/*.json "$work"
 # Ports of its own, so that a deployment that runs on the documented ports is not disturbed.
+sed -i "s/\"multiple\": *[0-9.]*/\"multiple\": 0.2/" "$work/callers.json"
 sed -i 's/127\.0\.0\.1:21/127.0.0.1:25/g' "$work"/*.json
 start platform "$bin/peridot-platform" --settings "$work/platform.json"
 for file in "$work"/backend-*.json; do
