--- a/peridot/include/peridot/IdempotencyClaims.h
+++ b/peridot/include/peridot/IdempotencyClaims.h
@@ -122,7 +122,7 @@
     void completedUpdates(const UpdateBatch&, const StoreResult&);
     void resolveRow(const RequestId&, const TableRow*, TimePoint now, std::vector<ClaimOutcome>&);
     void grant(const RequestId&, RowVersion, std::vector<ClaimOutcome>&);
-    void refuse(const RequestId&, ClaimRefusal, std::vector<ClaimOutcome>&);
+    void end(const RequestId&, decltype(ClaimOutcome::result), std::vector<ClaimOutcome>&);
     void keepAsCancelled(const RequestId&, TimePoint now);
     void retryOrRefuse(const RequestId&, TimePoint now, std::vector<ClaimOutcome>&);
 
--- a/peridot/src/IdempotencyClaims.cpp
+++ b/peridot/src/IdempotencyClaims.cpp
@@ -270,7 +270,7 @@
     }
     const auto value = decodeRow(row->value);
     if (!value) {
-        refuse(id, ClaimRefusal::InProgress, outcomes);
+        end(id, ClaimRefusal::InProgress, outcomes);
         return;
     }
     if (value->owner == m_owner && value->request == id.value()) {
@@ -278,15 +278,14 @@
         return;
     }
     if (value->fingerprint != claim.request.fingerprint) {
-        refuse(id, ClaimRefusal::FingerprintMismatch, outcomes);
+        end(id, ClaimRefusal::FingerprintMismatch, outcomes);
         return;
     }
     if (value->response) {
-        m_claims.erase(id);
-        outcomes.push_back({ id, *value->response });
+        end(id, *value->response, outcomes);
         return;
     }
-    refuse(id, ClaimRefusal::InProgress, outcomes);
+    end(id, ClaimRefusal::InProgress, outcomes);
 }
 
 void IdempotencyClaims::grant(const RequestId& id, RowVersion version, std::vector<ClaimOutcome>& outcomes)
@@ -301,11 +300,13 @@
         outcomes.push_back({ id, ClaimGranted {} });
 }
 
-void IdempotencyClaims::refuse(const RequestId& id, ClaimRefusal refusal, std::vector<ClaimOutcome>& outcomes)
+/** Ends a claim that this request doesn't get. Nobody is told of a cancelled one. */
+void IdempotencyClaims::end(
+    const RequestId& id, decltype(ClaimOutcome::result) result, std::vector<ClaimOutcome>& outcomes)
 {
     auto claim = m_claims.extract(id);
     if (!claim.mapped().isCancelled)
-        outcomes.push_back({ id, refusal });
+        outcomes.push_back({ id, std::move(result) });
 }
 
 void IdempotencyClaims::cancel(const RequestId& id, TimePoint now)
--- a/peridot/tests/IdempotencyClaimsTest.cpp
+++ b/peridot/tests/IdempotencyClaimsTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(releasedKeyCanBeUsedAgain);
     CPPUNIT_TEST(refusesWhenStoreStaysDown);
     CPPUNIT_TEST(cancelledClaimFreesItsKey);
+    CPPUNIT_TEST(cancelledClaimOfCompletedRequestIsSilent);
     CPPUNIT_TEST(givenUpClaimFreesItsKeyAfterLateWrite);
     CPPUNIT_TEST(batchesManyClaims);
     CPPUNIT_TEST(conflictDoesNotRefuseTheRestOfTheBatch);
@@ -140,6 +141,21 @@
         CPPUNIT_ASSERT(isGranted(run(claims).at(0)));
     }
 
+    void cancelledClaimOfCompletedRequestIsSilent()
+    {
+        IdempotencyClaims first("a");
+        first.claim(request("r1", "k"), m_now);
+        run(first);
+        first.complete(RequestId("r1"), { 200, "text/plain", "ok" });
+        run(first);
+        IdempotencyClaims second("b");
+        second.claim(request("r2", "k"), m_now);
+        auto call = second.takeCalls(m_now).at(0);
+        second.cancel(RequestId("r2"), m_now);
+        CPPUNIT_ASSERT(second.completed(call.token, m_store.apply(call.request), m_now).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, second.pendingCount());
+    }
+
     void givenUpClaimFreesItsKeyAfterLateWrite()
     {
         IdempotencyClaims claims("a");
--- a/tools/peridot-trial/src/ConfigurationWatch.cpp
+++ b/tools/peridot-trial/src/ConfigurationWatch.cpp
@@ -111,8 +111,7 @@
     for (std::size_t n = 0; n < deployment.workspaces.size(); ++n) {
         const WorkspaceId workspace { deployment.workspaces[n].id };
         const auto [rate, burst] = limitOf(n);
-        data.workspaces[workspace]
-            = { workspace, static_cast<std::uint32_t>(rate), static_cast<std::uint32_t>(burst) };
+        data.workspaces[workspace] = { workspace, static_cast<std::uint32_t>(rate), static_cast<std::uint32_t>(burst) };
         for (int key = 1; key <= keysPerWorkspace; ++key) {
             const std::string id = fmt::format("k-{}-{}", workspace.value(), key);
             data.keys[KeyId { id }] = { KeyId { id }, hashKey(presentedKey(id)), workspace };
--- a/tools/peridot-trial/src/Operators.cpp
+++ b/tools/peridot-trial/src/Operators.cpp
@@ -103,7 +103,8 @@
 {
     const std::string oldKey = m_keys.current(workspace);
     const std::string newKey = fmt::format("k-{}-{}", m_deployment.workspaces[workspace].id, ++m_lastKey);
-    AccessKey key { KeyId { newKey }, hashKey(presentedKey(newKey)), WorkspaceId { m_deployment.workspaces[workspace].id } };
+    AccessKey key { KeyId { newKey }, hashKey(presentedKey(newKey)),
+        WorkspaceId { m_deployment.workspaces[workspace].id } };
     const bool isSudden = m_random.chance(0.5);
     submit(IssueKey { key }, 0, [this, workspace, oldKey, newKey, isSudden](bool isIssued) {
         if (!isIssued)
@@ -121,8 +122,9 @@
     const Drain drain { DrainKind::Region, m_deployment.regions[m_random.below(m_deployment.regions.size())] };
     submit(SetDrain { drain, true }, 0, [this, drain](bool isAccepted) {
         if (isAccepted)
-            m_loop.after(m_random.between(seconds { 5 }, seconds { 25 }),
-                [this, drain] { submit(SetDrain { drain, false }, 0, nullptr); });
+            m_loop.after(m_random.between(seconds { 5 }, seconds { 25 }), [this, drain] {
+                submit(SetDrain { drain, false }, 0, nullptr);
+            });
     });
 }
 
