budget: move share for a low burst and a significant change only

Shares of small workspaces followed the noise of a two-second count. A region is now short only if less than half of its burst share is left, gives nothing while its own burst is low, and uses a count over eight seconds unless the one over two seconds differs by more than three standard deviations.

--- a/libs/budget/benchmarks/BudgetFigures.cpp
+++ b/libs/budget/benchmarks/BudgetFigures.cpp
@@ -22,37 +22,59 @@
     DemandPattern demand;
 };
 
-void print(const std::string& name, const std::string& wait, const FleetSimulation& fleet, std::int64_t demands,
-    std::int64_t items, std::int64_t writes, double seconds)
-{
-    for (std::size_t i = 0; i < fleet.figures().size(); ++i) {
-        const auto& figures = fleet.figures()[i];
-        const auto requests = static_cast<double>(std::max<std::int64_t>(1, figures.requests));
-        fmt::print("{:<34} wait={:<5} w{} requests={:<7} refused={:<8.4f}% wrongful={:<8.4f}% overspent={}\n", name,
-            wait, i, figures.requests, 100 * static_cast<double>(figures.refused) / requests,
-            100 * static_cast<double>(figures.wronglyRefused) / requests, figures.overspent);
-    }
-    fmt::print("{:<34} wait={:<5} demands/s/holder={:.1f} items/demand={:.2f} store_writes/s={:.2f}\n", name, wait,
-        static_cast<double>(demands) / seconds / static_cast<double>(holders),
-        static_cast<double>(items) / static_cast<double>(std::max<std::int64_t>(1, demands)),
-        static_cast<double>(writes) / seconds);
-}
+/** Sums over several seeds. */
+struct Sums {
+    std::vector<WorkspaceFigures> workspaces;
+    double seconds = 0;
+    std::int64_t demands = 0;
+    std::int64_t items = 0;
+    std::int64_t writes = 0;
+};
 
-void measure(const Scenario& scenario, Duration wait)
+void run(const Scenario& scenario, Duration wait, std::uint64_t seed, Sums& sums)
 {
     FleetOptions options;
+    options.seed = seed;
     options.workspaces = scenario.workspaces;
     options.longestWait = wait;
     FleetSimulation fleet(options);
     fleet.run(30 * second, scenario.warmUp);
     fleet.run(scenario.settle, scenario.demand);
     fleet.resetFigures();
-    const auto demands = fleet.demands();
-    const auto items = fleet.demandItems();
-    const auto writes = fleet.storeWrites();
+    sums.demands -= fleet.demands();
+    sums.items -= fleet.demandItems();
+    sums.writes -= fleet.storeWrites();
     fleet.run(60 * second, scenario.demand);
-    print(scenario.name, fmt::format("{}ms", toMilliseconds(wait)), fleet, fleet.demands() - demands,
-        fleet.demandItems() - items, fleet.storeWrites() - writes, 60);
+    sums.demands += fleet.demands();
+    sums.items += fleet.demandItems();
+    sums.writes += fleet.storeWrites();
+    sums.seconds += 60;
+    sums.workspaces.resize(fleet.figures().size());
+    for (std::size_t i = 0; i < sums.workspaces.size(); ++i) {
+        sums.workspaces[i].requests += fleet.figures()[i].requests;
+        sums.workspaces[i].refused += fleet.figures()[i].refused;
+        sums.workspaces[i].wronglyRefused += fleet.figures()[i].wronglyRefused;
+        sums.workspaces[i].overspent += fleet.figures()[i].overspent;
+    }
+}
+
+void measure(const Scenario& scenario, Duration wait)
+{
+    Sums sums;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+        run(scenario, wait, seed, sums);
+    for (std::size_t i = 0; i < sums.workspaces.size(); ++i) {
+        const auto& figures = sums.workspaces[i];
+        const auto requests = static_cast<double>(std::max<std::int64_t>(1, figures.requests));
+        fmt::print(
+            "{:<26} wait={:<2} w{} refused={:>8.4f}% wrongful={:>8.4f}% overspent={} demands/s={:<5.1f} items={:.2f} "
+            "writes/s={:.2f}\n",
+            scenario.name, toMilliseconds(wait), i, 100 * static_cast<double>(figures.refused) / requests,
+            100 * static_cast<double>(figures.wronglyRefused) / requests, figures.overspent,
+            static_cast<double>(sums.demands) / sums.seconds / static_cast<double>(holders),
+            static_cast<double>(sums.items) / static_cast<double>(std::max<std::int64_t>(1, sums.demands)),
+            static_cast<double>(sums.writes) / sums.seconds);
+    }
 }
 
 DemandPattern constant(double perSecond, const std::vector<double>& parts)
@@ -71,7 +93,7 @@
         { std::pair<MilliRate, Units> { 1'000'000, 1000 }, { 1'000'000, 200 }, { 100'000, 100 }, { 20'000, 40 } }) {
         const auto perSecond = static_cast<double>(rate) / 1000;
         const std::vector<BudgetShare> total { { rate, burst } };
-        const auto suffix = fmt::format(" {}/s burst {}", rate / 1000, burst);
+        const auto suffix = fmt::format(" {}/{}", rate / 1000, burst);
         for (const double part : { 0.5, 0.8, 0.9 }) {
             const auto demand = constant(perSecond * part, even);
             scenarios.push_back(
--- a/libs/budget/src/LedgerBucket.cpp
+++ b/libs/budget/src/LedgerBucket.cpp
@@ -42,18 +42,20 @@
 void SlidingRate::add(Units n, TimePoint now)
 {
     advance(now);
-    m_sums[static_cast<std::size_t>(m_newest) % m_sums.size()] += n;
+    auto& sum = m_sums[static_cast<std::size_t>(m_newest) % m_sums.size()];
+    sum = static_cast<std::int32_t>(std::min<Units>(sum + n, INT32_MAX));
 }
 
-double SlidingRate::perSecond(TimePoint now)
+double SlidingRate::perSecond(std::size_t slots, TimePoint now)
 {
     advance(now);
     const auto intoSlot = toSeconds(now.time_since_epoch() % s_slot) / toSeconds(s_slot);
-    const auto oldest = static_cast<std::size_t>(m_newest + 1) % m_sums.size();
     double sum = 0;
-    for (std::size_t i = 0; i < m_sums.size(); ++i)
-        sum += static_cast<double>(m_sums[i]) * (i == oldest ? 1 - intoSlot : 1.0);
-    return sum / (toSeconds(s_slot) * static_cast<double>(s_slots));
+    for (std::size_t age = 0; age <= slots; ++age) {
+        const auto slot = static_cast<std::size_t>(m_newest) + m_sums.size() - age;
+        sum += m_sums[slot % m_sums.size()] * (age == slots ? 1 - intoSlot : 1.0);
+    }
+    return sum / (toSeconds(s_slot) * static_cast<double>(slots));
 }
 
 LedgerBucket::LedgerBucket(TimePoint refillFrom)
@@ -298,9 +300,21 @@
 
 BudgetUsage LedgerBucket::usage(TimePoint now)
 {
+    const auto demand
+        = [&](std::size_t slots) { return m_spent.perSecond(slots, now) + m_refused.perSecond(slots, now); };
+    const auto deviation = [](double perSecond, std::size_t slots) {
+        return std::sqrt(perSecond / (toSeconds(SlidingRate::s_slot) * static_cast<double>(slots)));
+    };
+    const auto recent = demand(SlidingRate::s_shortSlots);
+    const auto longer = demand(SlidingRate::s_longSlots);
+    // The longer window is less noisy; the shorter one counts once it differs by more than independent requests would.
+    const bool hasChanged
+        = std::abs(recent - longer) > 3 * deviation(std::max(recent, longer), SlidingRate::s_shortSlots);
+    const auto slots = hasChanged ? SlidingRate::s_shortSlots : SlidingRate::s_longSlots;
     BudgetUsage usage;
-    usage.spentPerSecond = m_spent.perSecond(now);
-    usage.demandPerSecond = usage.spentPerSecond + m_refused.perSecond(now);
+    usage.demandPerSecond = hasChanged ? recent : longer;
+    usage.demandDeviation = deviation(usage.demandPerSecond, slots);
+    usage.spentPerSecond = m_spent.perSecond(slots, now);
     usage.refusedTotal = m_refusedTotal;
     usage.tokens = m_nanoTokens / s_nanoPerUnit;
     usage.outstanding = m_outstanding;
--- a/libs/budget/src/LedgerBucket.h
+++ b/libs/budget/src/LedgerBucket.h
@@ -15,19 +15,20 @@
 
 namespace peridot {
 
-/** Sum of events per second over a sliding window of two seconds. */
+/** Events per second over the last two or eight seconds. */
 class SlidingRate {
 public:
+    static constexpr std::size_t s_shortSlots = 8;
+    static constexpr std::size_t s_longSlots = 32;
+    static constexpr Duration s_slot = std::chrono::milliseconds { 250 };
+
     void add(Units, TimePoint now);
-    double perSecond(TimePoint now);
+    double perSecond(std::size_t slots, TimePoint now);
 
 private:
-    static constexpr Duration s_slot = std::chrono::milliseconds { 250 };
-    static constexpr std::size_t s_slots = 8;
-
     void advance(TimePoint now);
 
-    std::array<Units, s_slots + 1> m_sums {}; // The newest slot is partial; the oldest is counted in part.
+    std::array<std::int32_t, s_longSlots + 1> m_sums {}; // The newest slot is partial; the oldest is counted in part.
     std::int64_t m_newest = 0;
 };
 
--- a/libs/budget/src/SharePolicy.cpp
+++ b/libs/budget/src/SharePolicy.cpp
@@ -16,17 +16,15 @@
     constexpr double askMargin = 0.06;
     /** A region is short above this part of its share. */
     constexpr double shortAbove = 0.92;
-    /** Use is counted over this time, so its standard deviation is sqrt(use / time) for independent requests. */
-    constexpr double usageSeconds = 2;
 
     MilliRate toMilliRate(double perSecond) noexcept
     {
         return static_cast<MilliRate>(std::ceil(std::min(perSecond, 1e12) * 1000));
     }
 
-    double withNoise(double perSecond, double margin, double deviations) noexcept
+    double withMargin(const BudgetUsage& usage, double margin, double deviations) noexcept
     {
-        return perSecond * (1 + margin) + deviations * std::sqrt(perSecond / usageSeconds);
+        return usage.demandPerSecond * (1 + margin) + deviations * usage.demandDeviation;
     }
 
 }
@@ -50,20 +48,26 @@
 
 MilliRate rateToKeep(const BudgetUsage& usage, const BudgetShare& total, std::size_t regions) noexcept
 {
-    const auto rate = toMilliRate(withNoise(usage.demandPerSecond, keepMargin, 1)) + floorRate(total.rate, regions);
+    const auto rate = toMilliRate(withMargin(usage, keepMargin, 1)) + floorRate(total.rate, regions);
     return std::min(rate, total.rate);
 }
 
 MilliRate rateToAskFor(const BudgetUsage& usage, const BudgetShare& total, std::size_t regions) noexcept
 {
-    const auto rate = toMilliRate(withNoise(usage.demandPerSecond, askMargin, 2)) + floorRate(total.rate, regions);
+    const auto rate = toMilliRate(withMargin(usage, askMargin, 2)) + floorRate(total.rate, regions);
     return std::min(rate, total.rate);
 }
 
-bool isShort(const BudgetUsage& usage, MilliRate rate, const BudgetShare& total, std::size_t regions) noexcept
+bool isBurstLow(const BudgetUsage& usage, const BudgetShare& own) noexcept
 {
-    return rate < floorRate(total.rate, regions)
-        || usage.demandPerSecond * 1000 > static_cast<double>(rate) * shortAbove;
+    return (usage.tokens + usage.outstanding) * 2 < own.burst;
+}
+
+bool isShort(const BudgetUsage& usage, const BudgetShare& own, const BudgetShare& total, std::size_t regions) noexcept
+{
+    if (own.rate < floorRate(total.rate, regions))
+        return true;
+    return isBurstLow(usage, own) && usage.demandPerSecond * 1000 > static_cast<double>(own.rate) * shortAbove;
 }
 
 }
--- a/libs/budget/src/SharePolicy.h
+++ b/libs/budget/src/SharePolicy.h
@@ -21,7 +21,10 @@
 /** Rate that a region wants to have. */
 MilliRate rateToAskFor(const BudgetUsage&, const BudgetShare& total, std::size_t regions) noexcept;
 
-/** True if the region needs more than @p rate. */
-bool isShort(const BudgetUsage&, MilliRate rate, const BudgetShare& total, std::size_t regions) noexcept;
+/** True if less than half of the burst share is left. */
+bool isBurstLow(const BudgetUsage&, const BudgetShare& own) noexcept;
+
+/** True if the region needs a higher rate than @p own. Demand above the share for a moment is what the burst is for. */
+bool isShort(const BudgetUsage&, const BudgetShare& own, const BudgetShare& total, std::size_t regions) noexcept;
 
 }
--- a/libs/budget/src/ShareTable.cpp
+++ b/libs/budget/src/ShareTable.cpp
@@ -392,7 +392,8 @@
     const auto own = row.shareOf(m_self);
     if (!workspace.shrinkTo) {
         const auto missing = missingElsewhere(row) - row.remainder.rate;
-        const auto spare = own.rate - rateToKeep(m_ledger.usage(key, now), row.total, m_regions.size());
+        const auto usage = m_ledger.usage(key, now);
+        const auto spare = isBurstLow(usage, own) ? 0 : own.rate - rateToKeep(usage, row.total, m_regions.size());
         const auto given = std::min(missing, spare);
         if (given <= 0 || given < std::min(missing, row.total.rate / smallestMoveDivisor))
             return std::nullopt;
@@ -422,7 +423,7 @@
     const auto usage = m_ledger.usage(budgetKey(id), now);
     const auto need = row.needs.find(m_self);
     Write write { id, row, "need", {} };
-    if (!isShort(usage, own.rate, row.total, m_regions.size())) {
+    if (!isShort(usage, own, row.total, m_regions.size())) {
         if (need == row.needs.end() || now < workspace.notShortSince + needLifetime)
             return std::nullopt;
         write.row.needs.erase(m_self);
