budget: ask a short ledger once per interval only

After a short grant, each request that found no units made the next demand due as soon as the stated refill time, a few milliseconds, had passed.

--- a/libs/budget/src/BudgetHolder.cpp
+++ b/libs/budget/src/BudgetHolder.cpp
@@ -90,7 +90,7 @@
             outcome.retryAfter = own.refillAt() > now ? own.refillAt() - now : m_roundTrip.load();
         }
         // While the ledger is short of units, asking more often than every interval brings no more of them.
-        const bool isUrgent = (!outcome.isSpent || own.isLow()) && own.refillAt() <= now;
+        const bool isUrgent = (!outcome.isSpent || own.isLow()) && !own.isLedgerShort(now);
         demandBy(isUrgent ? now : m_collectedAt.load(std::memory_order_relaxed) + demandInterval);
     }
     outcome.isDemandDue = isDemandDue(now);
@@ -138,7 +138,7 @@
     std::erase_if(shard.inUse, [&](auto* item) {
         auto& [key, own] = *item;
         own.expire(now);
-        if (isEarly && (!own.isLow() || own.refillAt() > now))
+        if (isEarly && (!own.isLow() || own.isLedgerShort(now)))
             return false;
         if (auto report = own.report(key, m_roundTrip, now))
             demand.items.push_back(std::move(*report));
--- a/libs/budget/src/HeldUnits.h
+++ b/libs/budget/src/HeldUnits.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "budget/BudgetShare.h"
 #include "budget/Messages.h"
 
 #include <optional>
@@ -30,6 +31,8 @@
 
     TimePoint refillAt() const noexcept { return m_refillAt; }
     void setRefillAt(TimePoint time) noexcept { m_refillAt = time; }
+    /** True if the last grant was short and no demand since then could have shown otherwise. */
+    bool isLedgerShort(TimePoint now) const noexcept { return now < m_refillAt + demandInterval; }
 
     /** Returns what a demand should say, or nothing. Gives back units that are not needed. */
     std::optional<BudgetDemandItem> report(const BudgetKey&, Duration roundTrip, TimePoint now);
