routing: test reports that latency contradicts, and the connection limit

The comparison also runs with one server three times slower than the others, where equal shares are wrong.

--- a/libs/routing/benchmarks/RoutingComparison.cpp
+++ b/libs/routing/benchmarks/RoutingComparison.cpp
@@ -30,6 +30,7 @@
 struct Reports {
     const char* name;
     std::vector<ReportMode> modes;
+    double slowness = 1; // Of the first server.
 };
 
 void run(const Service& service, double load, const Reports& reports, PolicyKind policy, int seconds, unsigned seed)
@@ -42,7 +43,9 @@
     options.duration = std::chrono::seconds(seconds);
     options.reportModes = reports.modes;
     options.seed = seed;
-    const auto result = ServiceSimulation(options).run();
+    ServiceSimulation simulation(options);
+    simulation.setSlowness(0, reports.slowness);
+    const auto result = simulation.run();
     LogLine line("routing_comparison");
     line.add("service", service.name).add("servers", service.servers).add("slots", service.slots);
     line.add("load", load).add("reports", reports.name).add("policy", enumName(policy)).add("seed", seed);
@@ -66,6 +69,7 @@
         { "one_third_idle_lie", { ReportMode::SaysIdle, ReportMode::Honest, ReportMode::Honest } },
         { "one_third_full_lie", { ReportMode::SaysFull, ReportMode::Honest, ReportMode::Honest } },
         { "frozen", { ReportMode::Frozen } },
+        { "honest_one_slow_server", { ReportMode::Honest }, 3 },
     };
     for (const auto& service : services) {
         for (const auto load : { 0.5, 0.8, 0.95 }) {
--- a/libs/routing/tests/BackendPoolTest.cpp
+++ b/libs/routing/tests/BackendPoolTest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(prefersServerWithLessReportedLoad);
     CPPUNIT_TEST(oldReportLosesItsWeight);
     CPPUNIT_TEST(contradictedReportsLoseTrust);
+    CPPUNIT_TEST(latencyContradictsReports);
     CPPUNIT_TEST(shedsLowerTheConcurrencyLimit);
     CPPUNIT_TEST_SUITE_END();
 
@@ -68,7 +69,7 @@
         list[0].isLeaving = true;
         m_pool->setServers(start, list);
         for (int i = 0; i < 50; ++i)
-            CPPUNIT_ASSERT(m_pool->choose(start, 1)->server == id(1));
+            CPPUNIT_ASSERT(m_pool->choose(start, 1).value().server == id(1));
         CPPUNIT_ASSERT_THROW(m_pool->started(start, id(0), 1), InvariantViolation);
         m_pool->setServers(start, { list[1] });
         m_pool->finished(start + 1s, id(0), 1, BackendOutcome::Succeeded, 1s);
@@ -81,10 +82,16 @@
         CPPUNIT_ASSERT(m_pool->choose(start, 1).error() == NoBackendReason::NoServers);
         m_pool->setServers(start, servers(1, 1));
         CPPUNIT_ASSERT(m_pool->choose(start, 1, std::vector { id(0) }).error() == NoBackendReason::AllExcluded);
-        m_pool->started(start, m_pool->choose(start, 1)->server, 1);
+        m_pool->started(start, m_pool->choose(start, 1).value().server, 1);
         CPPUNIT_ASSERT(m_pool->choose(start, 1).error() == NoBackendReason::AllAtLimit);
         m_pool->finished(start, id(0), 1, BackendOutcome::Cancelled, 1ms);
         CPPUNIT_ASSERT(m_pool->choose(start, 1));
+        // A tenth of the connections is kept for instances that are not in the view yet.
+        setUp();
+        m_pool->setServers(start, servers(1, 8, 4));
+        for (int i = 0; i < 3; ++i)
+            m_pool->started(start, m_pool->choose(start, 1).value().server, 1);
+        CPPUNIT_ASSERT(m_pool->choose(start, 1).error() == NoBackendReason::AllAtLimit);
     }
 
     /** A server at its connection limit refuses all instances, also those within their share. */
@@ -164,7 +171,7 @@
         const auto shareOfNew = [&](TimePoint now) {
             int count = 0;
             for (int i = 0; i < 2000; ++i)
-                count += m_pool->choose(now, 1)->server == id(8);
+                count += m_pool->choose(now, 1).value().server == id(8);
             return count / 2000.0;
         };
         const auto atStart = shareOfNew(start);
@@ -215,6 +222,27 @@
         CPPUNIT_ASSERT_EQUAL(1.0, views[2].reportTrust);
     }
 
+    /** A server that says it is full but answers as fast as the others, and one that says it is idle but is slow. */
+    void latencyContradictsReports()
+    {
+        m_pool->setServers(start, servers(4));
+        for (int i = 0; i < 40; ++i) {
+            const auto now = start + i * 100ms;
+            for (std::size_t server = 0; server < 4; ++server) {
+                m_pool->report(
+                    now, id(server), server == 0 ? LoadReport { 8, 4 } : LoadReport { server == 1 ? 0U : 4U }, 0ms);
+                m_pool->started(now, id(server), 1);
+            }
+            for (std::size_t server = 0; server < 4; ++server)
+                m_pool->finished(now + 50ms, id(server), 1, BackendOutcome::Succeeded,
+                    server == 1 ? Duration(300ms) : Duration(40ms));
+        }
+        const auto views = m_pool->servers(start + 4s);
+        CPPUNIT_ASSERT(views[0].reportTrust < 0.2);
+        CPPUNIT_ASSERT(views[1].reportTrust < 0.2);
+        CPPUNIT_ASSERT(views[2].reportTrust > 0.9);
+    }
+
     void shedsLowerTheConcurrencyLimit()
     {
         m_pool->setServers(start, servers(1));
@@ -238,7 +266,7 @@
     {
         int count = 0;
         for (int i = 0; i < choices; ++i)
-            count += m_pool->choose(now, 1)->server == server;
+            count += m_pool->choose(now, 1).value().server == server;
         return count;
     }
 
