--- a/libs/budget/include/budget/RegionLedger.h
+++ b/libs/budget/include/budget/RegionLedger.h
@@ -23,6 +23,7 @@
 /** Use of one budget in this region, for decisions on moving share. */
 struct BudgetUsage {
     double demandPerSecond = 0; // Units spent plus units refused, over 8 s, or over 2 s after a change.
+    double recentDemandPerSecond = 0; // Over 2 s.
     double demandDeviation = 0; // Standard deviation of demandPerSecond for independent requests.
     double spentPerSecond = 0; // Units spent, over the same time.
     Units refusedTotal = 0; // Refusals reported by holders since the ledger was created.
--- a/libs/budget/src/LedgerBucket.cpp
+++ b/libs/budget/src/LedgerBucket.cpp
@@ -313,6 +313,7 @@
     const auto slots = hasChanged ? SlidingRate::s_shortSlots : SlidingRate::s_longSlots;
     BudgetUsage usage;
     usage.demandPerSecond = hasChanged ? recent : longer;
+    usage.recentDemandPerSecond = recent;
     usage.demandDeviation = deviation(usage.demandPerSecond, slots);
     usage.spentPerSecond = m_spent.perSecond(slots, now);
     usage.refusedTotal = m_refusedTotal;
--- a/libs/budget/src/SharePolicy.cpp
+++ b/libs/budget/src/SharePolicy.cpp
@@ -22,9 +22,10 @@
         return static_cast<MilliRate>(std::ceil(std::min(perSecond, 1e12) * 1000));
     }
 
-    double withMargin(const BudgetUsage& usage, double margin, double deviations) noexcept
+    /** A region that runs out of burst counts its recent demand, even if the rise could be chance. */
+    double demandWhenShort(const BudgetUsage& usage) noexcept
     {
-        return usage.demandPerSecond * (1 + margin) + deviations * usage.demandDeviation;
+        return std::max(usage.demandPerSecond, usage.recentDemandPerSecond);
     }
 
 }
@@ -48,13 +49,15 @@
 
 MilliRate rateToKeep(const BudgetUsage& usage, const BudgetShare& total, std::size_t regions) noexcept
 {
-    const auto rate = toMilliRate(withMargin(usage, keepMargin, 1)) + floorRate(total.rate, regions);
+    const auto rate = toMilliRate(usage.demandPerSecond * (1 + keepMargin) + usage.demandDeviation)
+        + floorRate(total.rate, regions);
     return std::min(rate, total.rate);
 }
 
 MilliRate rateToAskFor(const BudgetUsage& usage, const BudgetShare& total, std::size_t regions) noexcept
 {
-    const auto rate = toMilliRate(withMargin(usage, askMargin, 2)) + floorRate(total.rate, regions);
+    const auto rate = toMilliRate(demandWhenShort(usage) * (1 + askMargin) + 2 * usage.demandDeviation)
+        + floorRate(total.rate, regions);
     return std::min(rate, total.rate);
 }
 
@@ -67,7 +70,7 @@
 {
     if (own.rate < floorRate(total.rate, regions))
         return true;
-    return isBurstLow(usage, own) && usage.demandPerSecond * 1000 > static_cast<double>(own.rate) * shortAbove;
+    return isBurstLow(usage, own) && demandWhenShort(usage) * 1000 > static_cast<double>(own.rate) * shortAbove;
 }
 
 }
