budget: learn the round trip of a distant ledger; shorten the ledger's gaps

A slow or partly reachable store made the 3 s lease lapse, only the best-ranked instance tried to take it, and a takeover waited for the lease a second time although the row had stood still for it already. Change: an unanswered demand doubles the assumed round trip; lease 6 s, store calls of the ledger 2.5 s, three candidates per region, and a wait of one unit lifetime after a takeover.

--- a/libs/budget/include/budget/LedgerLease.h
+++ b/libs/budget/include/budget/LedgerLease.h
@@ -14,8 +14,11 @@
 
 namespace peridot {
 
-/** Life of a lease, counted from before the write that acquired or renewed it began. */
-constexpr Duration leaseLifetime = std::chrono::seconds { 3 };
+/**
+ * Life of a lease, counted from before the write that acquired or renewed it began. Longer than evidence lasts (4 s),
+ * so that a slow store stops the ledger no earlier than it stops the requests.
+ */
+constexpr Duration leaseLifetime = std::chrono::seconds { 6 };
 constexpr Duration leaseRenewInterval = std::chrono::seconds { 1 };
 
 std::string ledgerRowKey(const RegionId&);
@@ -41,8 +44,8 @@
  *
  * A row that names a holder is taken over after it stayed unchanged for the lease lifetime, with mayWrite all the
  * while. This instance attested all the while that the store can be reached, so the holder cannot have extended its
- * lease. After that, grantsFrom() is the lease lifetime plus the unit lifetime after the row was won. There is no wait
- * after a handover, or if there was no row.
+ * lease and has stopped granting when the row is won. The units that it granted live on for at most the unit lifetime,
+ * so grantsFrom() is that long after the row was won. There is no wait after a handover, or if there was no row.
  *
  * Not thread-safe.
  */
--- a/libs/budget/src/BudgetHolder.cpp
+++ b/libs/budget/src/BudgetHolder.cpp
@@ -104,6 +104,10 @@
     const std::lock_guard demandLock(m_demandMutex);
     if (!isDemandDue(now))
         return std::nullopt;
+    // An answer that did not come in time may be on its way from a ledger that is farther than assumed. Without this, a
+    // ledger of another region would never be heard: each demand closes the one before.
+    if (m_isOpen)
+        m_roundTrip = std::min(m_roundTrip.load() * 2, longestAnswerTimeout);
     // Grants of earlier demands are dropped from here on, even if this one turns out empty.
     m_isOpen = false;
     m_dueAt = TimePoint::max();
--- a/libs/budget/src/LedgerLease.cpp
+++ b/libs/budget/src/LedgerLease.cpp
@@ -223,7 +223,7 @@
     m_epoch = m_row.epoch;
     ++m_term;
     m_leaseEnd = leaseEnd;
-    m_grantsFrom = m_isWaitNeeded ? now + withDrift(leaseLifetime + unitLifetime) : now;
+    m_grantsFrom = m_isWaitNeeded ? now + withDrift(unitLifetime) : now;
     m_inheritedSnapshot = m_offeredSnapshot;
     LogLine line("lease_acquired");
     line.add("region", m_region).add("epoch", m_epoch).add("wait_ms", m_grantsFrom - now);
--- a/libs/budget/tests/BudgetHolderTest.cpp
+++ b/libs/budget/tests/BudgetHolderTest.cpp
@@ -7,6 +7,8 @@
 
 #include <atomic>
 #include <thread>
+#include <utility>
+#include <vector>
 
 using namespace peridot;
 
@@ -32,6 +34,7 @@
     CPPUNIT_TEST(asksAtOnceWhenUnitsRunLow);
     CPPUNIT_TEST(waitsForRefillWhenTheLedgerIsShort);
     CPPUNIT_TEST(givesBackWhatItDoesNotUse);
+    CPPUNIT_TEST(learnsTheRoundTripOfADistantLedger);
     CPPUNIT_TEST(releasesEverything);
     CPPUNIT_TEST(spendsEachUnitOnceAcrossThreads);
     CPPUNIT_TEST_SUITE_END();
@@ -138,6 +141,22 @@
         CPPUNIT_ASSERT(!m_holder.isDemandDue(start + 20 * second));
     }
 
+    void learnsTheRoundTripOfADistantLedger()
+    {
+        // Grants of a ledger 120 ms away must not all be dropped because a newer demand has been sent meanwhile.
+        const auto roundTrip = 120 * millisecond;
+        std::vector<std::pair<TimePoint, BudgetGrant>> underway;
+        int taken = 0;
+        for (auto now = start; now < start + second; now += 5 * millisecond) {
+            m_holder.trySpend(key, 1, now);
+            if (const auto demand = m_holder.nextDemand(now))
+                underway.emplace_back(now + roundTrip, answer(*demand, 1));
+            for (; !underway.empty() && underway.front().first <= now; underway.erase(underway.begin()))
+                taken += m_holder.accept(underway.front().second, now);
+        }
+        CPPUNIT_ASSERT(taken >= 4);
+    }
+
     void releasesEverything()
     {
         holdUnits(5, start);
--- a/peridot/src/RegionLedgerHost.cpp
+++ b/peridot/src/RegionLedgerHost.cpp
@@ -11,12 +11,16 @@
 
 namespace {
 
-    constexpr Duration storeTimeout = std::chrono::seconds { 1 };
+    // A write that takes longer leaves too little of the lease.
+    constexpr Duration storeTimeout = std::chrono::milliseconds { 2500 };
+    // Instances of the region that compete for a lapsed lease, so that one without a path to the store doesn't block
+    // it.
+    constexpr int candidateCount = 3;
     constexpr Duration capacityInterval = std::chrono::milliseconds { 500 };
     constexpr Duration watchInterval = std::chrono::seconds { 1 };
-    // A ledger whose row stands still has stopped granting after lease (3 s) and unit lifetime (1 s), both with drift.
-    // Twice that, so that a region that comes and goes doesn't lose its share at each blink.
-    constexpr Duration lapseTime = std::chrono::seconds { 8 };
+    // A ledger whose row stands still has stopped granting after the lease, and its units are gone after their
+    // lifetime.
+    constexpr Duration lapseTime = withDrift(leaseLifetime + unitLifetime) + std::chrono::milliseconds { 500 };
     // Part of the free capacity that other regions may use. The rest absorbs changes within one update interval.
     constexpr double spillShare = 0.5;
     constexpr double spillReserve = 0.1;
@@ -79,13 +83,13 @@
     if (m_isLeaving)
         return false;
     const auto own = rankHash(m_settings.self.region, m_settings.self.id);
-    bool isFirst = true;
+    int better = 0;
     m_membership.view().forEachLive([&](const MemberInfo& member) {
         if (member.region == m_settings.self.region && member.id != m_settings.self.id
             && member.state == InstanceState::Ready && rankHash(member.region, member.id) > own)
-            isFirst = false;
+            ++better;
     });
-    return isFirst;
+    return better < candidateCount;
 }
 
 bool RegionLedgerHost::hasLiveMembers(const RegionId& region) const
