peridot: announce a new ledger to its region

Cause: after a handover the live view names the new ledger up to 1.5 s late, and the region's instances go on asking one that grants nothing. Change: the new ledger sends an empty grant to the live members of its region. Conclusion: kept; the crash of a ledger's instance still stops a region's units for 8 s, looked at next.

--- a/peridot/src/ControlPlane.cpp
+++ b/peridot/src/ControlPlane.cpp
@@ -135,6 +135,7 @@
         }
         void operator()(const BudgetGrant& message)
         {
+            self.noteLedger(envelope, message);
             if (auto* holder = self.m_budgets.find(message.region))
                 holder->accept(message, now);
         }
@@ -386,9 +387,22 @@
     return it == m_ledgers.end() ? nullptr : &it->second;
 }
 
+void ControlPlane::noteLedger(const Envelope& envelope, const BudgetGrant& grant)
+{
+    auto& holder = m_ledgers[grant.region];
+    if (grant.epoch <= holder.ledgerEpoch)
+        return;
+    holder = {};
+    holder.id = envelope.sender;
+    holder.region = grant.region;
+    holder.peerAddress = envelope.senderAddress;
+    holder.ledgerEpoch = grant.epoch;
+}
+
 void ControlPlane::updateLedgers()
 {
-    m_ledgers.clear();
+    // A holder that the view doesn't know yet is kept: it has announced itself.
+    std::erase_if(m_ledgers, [&](const auto& it) { return !m_membership.view().find(it.second.id); });
     m_membership.view().forEachLive([&](const MemberInfo& member) {
         if (member.ledgerEpoch == 0)
             return;
--- a/peridot/src/ControlPlane.h
+++ b/peridot/src/ControlPlane.h
@@ -59,6 +59,7 @@
     void sendDemand(const RegionId&, const BudgetDemand&, TimePoint now, Actions&);
     const MemberInfo* findLedger(const RegionId&) const;
     void updateLedgers();
+    void noteLedger(const Envelope&, const BudgetGrant&);
     void pollInstanceList(TimePoint now, Actions&);
     void updateOwnState(TimePoint now);
     void updateRouters(TimePoint now);
--- a/peridot/src/RegionLedgerHost.cpp
+++ b/peridot/src/RegionLedgerHost.cpp
@@ -119,6 +119,8 @@
     followLease(now);
     if (m_activeTerm == 0)
         return actions;
+    if (std::exchange(m_isAnnouncementDue, false))
+        announce(actions);
 
     ShareInputs shareInputs;
     shareInputs.isHeld = m_lease.isHeld(now);
@@ -150,6 +152,7 @@
         return;
     m_activeTerm = m_lease.term();
     m_ledger.activate(m_lease.epoch(), m_lease.grantsFrom(), now);
+    m_isAnnouncementDue = true;
     if (const auto& text = m_lease.inheritedSnapshot(); !text.empty()) {
         if (auto snapshot = ledgerSnapshotFromText(text))
             m_ledger.restore(*snapshot, now);
@@ -161,6 +164,19 @@
             .add("grants_in_ms", m_lease.grantsFrom() - now));
 }
 
+void RegionLedgerHost::announce(Actions& actions)
+{
+    // An empty grant names the region and the epoch. The live view says the same up to 1.5 s later, and until then the
+    // region's instances would ask a ledger that grants nothing.
+    BudgetGrant grant;
+    grant.region = m_settings.self.region;
+    grant.epoch = m_lease.epoch();
+    m_membership.view().forEachLive([&](const MemberInfo& member) {
+        if (member.region == m_settings.self.region && member.id != m_settings.self.id)
+            actions.emplace_back(SendMessage { member.id, member.peerAddress, grant });
+    });
+}
+
 void RegionLedgerHost::updateCapacityBudgets(TimePoint now)
 {
     for (const auto& capacity : m_capacity) {
--- a/peridot/src/RegionLedgerHost.h
+++ b/peridot/src/RegionLedgerHost.h
@@ -67,6 +67,7 @@
     void updateCapacityBudgets(TimePoint now);
     void updateShiftBudgets(TimePoint now);
     void watchLostRegions(TimePoint now, Actions&);
+    void announce(Actions&);
     std::vector<LapsedRegion> lapsedRegions() const;
 
     const NodeSettings& m_settings;
@@ -82,6 +83,7 @@
     double m_requestsPerLookup = 1;
     std::uint64_t m_activeTerm = 0; // Of the lease under which the ledger is active; 0 if it is not.
     bool m_isLeaving = false;
+    bool m_isAnnouncementDue = false; // The ledger has started; the region's instances don't know yet.
     bool m_isHandingOver = false; // Held the lease when it left.
     TimePoint m_nextCapacityUpdate {};
     TimePoint m_nextWatch {};
