budget: report every 60 ms while the ledger grants all that is wanted

At 20 ms, demands and grants took most of a holder's control traffic. Keys that run low are still asked for at once, and a holder whose last grant was short reports every 20 ms.

--- a/libs/budget/include/budget/BudgetHolder.h
+++ b/libs/budget/include/budget/BudgetHolder.h
@@ -66,6 +66,7 @@
 
     Shard& shardOf(const BudgetKey&) noexcept;
     void demandBy(TimePoint) noexcept;
+    TimePoint nextCollection() const noexcept;
     bool collect(Shard&, BudgetDemand&, bool isEarly, TimePoint now);
     void open(const BudgetDemand&, TimePoint now);
     void takeItem(const BudgetGrantItem&, TimePoint now);
@@ -78,6 +79,7 @@
     std::atomic<TimePoint> m_dueAt { TimePoint::max() }; // When the next demand is due, unless one is open.
     std::atomic<TimePoint> m_openUntil { TimePoint::min() }; // The open demand is given up at this time.
     std::atomic<TimePoint> m_collectedAt { TimePoint {} }; // When all keys were last looked at for a demand.
+    std::atomic<Duration> m_interval { demandInterval };
     std::atomic<Duration> m_roundTrip; // Smoothed time from a demand to its grant.
 
     std::mutex m_demandMutex;
--- a/libs/budget/include/budget/BudgetShare.h
+++ b/libs/budget/include/budget/BudgetShare.h
@@ -23,7 +23,10 @@
 /** Life of granted units at the holder, counted from the moment it sent the demand. */
 constexpr Duration unitLifetime = std::chrono::seconds { 1 };
 
-/** Interval of demands while there is use. */
+/** Interval of demands while there is use and the ledger is short of units. */
 constexpr Duration demandInterval = std::chrono::milliseconds { 20 };
 
+/** Interval of reports while the ledger grants all that is wanted. A key that runs low is asked for at once. */
+constexpr Duration relaxedDemandInterval = std::chrono::milliseconds { 60 };
+
 }
--- a/libs/budget/src/BudgetHolder.cpp
+++ b/libs/budget/src/BudgetHolder.cpp
@@ -65,6 +65,11 @@
     return now >= m_dueAt.load(std::memory_order_relaxed) && now >= m_openUntil.load(std::memory_order_relaxed);
 }
 
+TimePoint BudgetHolder::nextCollection() const noexcept
+{
+    return m_collectedAt.load(std::memory_order_relaxed) + m_interval.load(std::memory_order_relaxed);
+}
+
 /** Makes the next demand due at @p time, if it isn't due earlier. */
 void BudgetHolder::demandBy(TimePoint time) noexcept
 {
@@ -91,7 +96,7 @@
         }
         // While the ledger is short of units, asking more often than every interval brings no more of them.
         const bool isUrgent = (!outcome.isSpent || own.isLow()) && !own.isLedgerShort(now);
-        demandBy(isUrgent ? now : m_collectedAt.load(std::memory_order_relaxed) + demandInterval);
+        demandBy(isUrgent ? now : nextCollection());
     }
     outcome.isDemandDue = isDemandDue(now);
     return outcome;
@@ -111,15 +116,17 @@
     // Grants of earlier demands are dropped from here on, even if this one turns out empty.
     m_isOpen = false;
     m_dueAt = TimePoint::max();
-    const bool isEarly = now < m_collectedAt.load() + demandInterval;
-    if (!isEarly)
+    const bool isEarly = now < nextCollection();
+    if (!isEarly) {
         m_collectedAt = now;
+        m_interval = relaxedDemandInterval;
+    }
     BudgetDemand demand { m_self, m_incarnation, m_sequence + 1, {} };
     bool isInUse = false;
     for (std::size_t i = 0; i < shardCount; ++i)
         isInUse |= collect(m_shards[i], demand, isEarly, now);
     if (isInUse)
-        demandBy(m_collectedAt.load() + demandInterval);
+        demandBy(nextCollection());
     if (demand.items.empty())
         return std::nullopt;
     open(demand, now);
@@ -188,8 +195,10 @@
     if (item.granted > 0)
         own.add(item.granted, m_sentAt + std::min(item.validity, unitLifetime), now);
     own.setRefillAt(item.refillTime.count() > 0 ? now + item.refillTime : TimePoint {});
-    if (own.refillAt() > now)
-        demandBy(std::max(own.refillAt(), m_collectedAt.load() + demandInterval));
+    if (own.refillAt() > now) {
+        m_interval = demandInterval;
+        demandBy(std::max(own.refillAt(), nextCollection()));
+    }
 }
 
 std::optional<BudgetDemand> BudgetHolder::releaseAll(TimePoint now)
