budget: hold a margin of four standard deviations of use

With three, requests found no units between two demands. Measured at 1000/s and burst 1000, 90% of the rate, 11 holders: requests that find no units at once 0.038% -> 0.0055%; demands per second and holder 25.0 -> 22.7, because a key runs low less often. With one workspace at ten times its rate, requests of the others that find no units at once: 0.06% -> 0.007%.

--- a/libs/budget/src/HeldUnits.cpp
+++ b/libs/budget/src/HeldUnits.cpp
@@ -18,11 +18,11 @@
     /** Units this close to their expiry are given back: the ledger can reuse them only if it hears of them in time. */
     constexpr Duration giveBackBefore = std::chrono::milliseconds { 60 };
 
-    /** Units that cover the use until the answer to the next demand, with a margin of three standard deviations. */
+    /** Units that cover the use until the answer to the next demand, with a margin of four standard deviations. */
     Units targetFor(double usePerSecond, Duration roundTrip)
     {
         const auto mean = usePerSecond * toSeconds(demandInterval + roundTrip);
-        return std::max<Units>(1, static_cast<Units>(std::ceil(mean + 3 * std::sqrt(mean))));
+        return std::max<Units>(1, static_cast<Units>(std::ceil(mean + 4 * std::sqrt(mean))));
     }
 
 }
