routing: let an instance use its fair share of the slots and half a queue in any case

The share that an instance may use whatever the reports say was the slots alone, but at 95% load servers hold about 1.2 requests a slot, so instances waited on old reports.

--- a/libs/routing/include/routing/BackendPool.h
+++ b/libs/routing/include/routing/BackendPool.h
@@ -82,8 +82,9 @@
     unsigned probeFailuresToEject = 3; // Consecutive.
     Duration firstEjection = std::chrono::seconds(1);
     Duration longestEjection = std::chrono::seconds(60);
-    double overcommit
-        = 0.75; // Queue per slot that an instance above its fair share of the slots may cause at a server.
+    // Queue per slot that is accepted at servers: it keeps slots busy while reports are old, and stays below the queue
+    // at which servers shed.
+    double overcommit = 0.5;
     std::uint32_t connectionsWanted = 4; // To each server of the subset, if the servers' limits allow it.
     double connectionReserve = 0.1; // Share of a server's connections left to instances not in the view yet.
 };
--- a/libs/routing/src/BackendPool.cpp
+++ b/libs/routing/src/BackendPool.cpp
@@ -114,7 +114,7 @@
     std::vector<Candidate> result;
     auto reason = NoBackendReason::NoServers;
     const auto meanLoad = meanForeignLoad(now);
-    const bool isWithinShare = m_inFlight < std::max(1.0, std::ceil(fairShare(now)));
+    const bool isWithinShare = m_inFlight < std::max(1.0, std::ceil(fairShare(now) * (1 + m_options.overcommit)));
     for (const auto& [id, server] : m_servers) {
         if (!server->isStaying() || !server->connectionLimit())
             continue;
