routing: drop a rule of displacement that cannot apply, and test three rules of the pool

A mutation of "a workspace within its fair share may displace" survived: within its share a workspace never waits longer than allowed. New checks: full servers get no more than the instance's fair share and overcommit, and a server that is missing from the list gets no new work while requests run there.

--- a/libs/routing/include/routing/RequestQueue.h
+++ b/libs/routing/include/routing/RequestQueue.h
@@ -135,12 +135,11 @@
     double costAhead(const WorkspaceId&, TimePoint due, double cost) const;
     bool makeRoom(TimePoint now, const QueuedRequest&);
     bool displaceForTarget(TimePoint now, const QueuedRequest&);
-    /** Whether a request of @p workspace may displace a less important one of @p other: a workspace that holds more
-     * than
-     *  @p fairShare of the waiting cost only from one that holds at least as much. */
-    bool mayDisplace(const QueuedRequest&, const WorkspaceId& other, double fairShare) const;
+    /** Whether the request may displace less important ones of @p other: its own workspace, or one that holds as much.
+     */
+    bool mayDisplace(const QueuedRequest&, const WorkspaceId& other) const;
     /** Returns the request to displace first for this one, if there is any. */
-    std::optional<RequestId> displaceable(const QueuedRequest&, double fairShare) const;
+    std::optional<RequestId> displaceable(const QueuedRequest&) const;
     double backlogWith(const QueuedRequest&) const;
     /** Workspaces with waiting requests, counting this one. */
     std::size_t activeWorkspaces(const WorkspaceId&) const;
--- a/libs/routing/src/RequestQueue.cpp
+++ b/libs/routing/src/RequestQueue.cpp
@@ -97,22 +97,21 @@
     return static_cast<std::size_t>(waiting) + !m_workspaces.count(id);
 }
 
-bool RequestQueue::mayDisplace(const QueuedRequest& request, const WorkspaceId& other, double fairShare) const
+bool RequestQueue::mayDisplace(const QueuedRequest& request, const WorkspaceId& other) const
 {
-    const auto own = backlogWith(request);
-    return other == request.workspace || own <= fairShare || m_workspaces.at(other).cost >= own;
+    // A workspace within its share of the allowed wait never needs to displace another one's requests, as those count
+    // only up to its own backlog. One beyond its share must not displace requests of a workspace that holds less.
+    return other == request.workspace || m_workspaces.at(other).cost >= backlogWith(request);
 }
 
 bool RequestQueue::displaceForTarget(TimePoint now, const QueuedRequest& request)
 {
     const auto due = dueOf(request);
     const auto allowed = allowedWait(now, request);
-    const auto rate = drainRate(now).value_or(0);
-    const auto fairShare = toSeconds(allowed) * rate / static_cast<double>(activeWorkspaces(request.workspace));
     // First check whether enough can be displaced, so that nothing is displaced in vain.
     double freeable = 0;
     for (const auto& [id, workspace] : m_workspaces) {
-        if (!mayDisplace(request, id, fairShare))
+        if (!mayDisplace(request, id))
             continue;
         for (const auto& order : workspace.displaceable) {
             if (order.importance >= request.importance)
@@ -125,7 +124,7 @@
     if (waitFor(std::max(0.0, ahead - freeable), now) > allowed)
         return false;
     while (waitFor(costAhead(request.workspace, due, request.cost), now) > allowed) {
-        const auto victim = displaceable(request, fairShare);
+        const auto victim = displaceable(request);
         if (!victim)
             return false;
         displace(now, *victim);
@@ -133,11 +132,11 @@
     return true;
 }
 
-std::optional<RequestId> RequestQueue::displaceable(const QueuedRequest& request, double fairShare) const
+std::optional<RequestId> RequestQueue::displaceable(const QueuedRequest& request) const
 {
     const Workspace* best = nullptr;
     for (const auto& [id, workspace] : m_workspaces) {
-        if (workspace.displaceable.empty() || !mayDisplace(request, id, fairShare))
+        if (workspace.displaceable.empty() || !mayDisplace(request, id))
             continue;
         const auto& order = *workspace.displaceable.begin();
         if (order.importance < request.importance && (!best || DisplacedBefore()(order, *best->displaceable.begin())))
@@ -160,7 +159,7 @@
         displace(now, victim);
         return true;
     }
-    const auto victim = displaceable(request, static_cast<double>(share));
+    const auto victim = displaceable(request);
     if (victim)
         displace(now, *victim);
     return victim.has_value();
--- a/libs/routing/tests/BackendPoolTest.cpp
+++ b/libs/routing/tests/BackendPoolTest.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(contradictedReportsLoseTrust);
     CPPUNIT_TEST(latencyContradictsReports);
     CPPUNIT_TEST(shedsLowerTheConcurrencyLimit);
+    CPPUNIT_TEST(fullServersGetNoMoreThanTheFairShare);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -68,6 +69,11 @@
         m_pool->started(start, id(0), 1);
         list[0].isLeaving = true;
         m_pool->setServers(start, list);
+        for (int i = 0; i < 50; ++i)
+            CPPUNIT_ASSERT(m_pool->choose(start, 1).value().server == id(1));
+        // Missing from the list means the same, also with requests running.
+        m_pool->setServers(start, servers(2));
+        m_pool->setServers(start, { list[1] });
         for (int i = 0; i < 50; ++i)
             CPPUNIT_ASSERT(m_pool->choose(start, 1).value().server == id(1));
         CPPUNIT_ASSERT_THROW(m_pool->started(start, id(0), 1), InvariantViolation);
@@ -255,6 +261,22 @@
         CPPUNIT_ASSERT_EQUAL(1.0, m_pool->servers(start).front().concurrencyLimit);
     }
 
+    /** Instances that each send all they have to full servers overload them together. */
+    void fullServersGetNoMoreThanTheFairShare()
+    {
+        for (const bool isFull : { false, true }) {
+            setUp();
+            m_pool->setEntryInstances(instances(4));
+            m_pool->setServers(start, servers(16));
+            for (std::size_t server = 0; server < 16; ++server)
+                m_pool->report(start, id(server), isFull ? LoadReport { 8, 4 } : LoadReport {}, 0ms);
+            while (const auto choice = m_pool->choose(start, 1))
+                m_pool->started(start, choice->server, 1);
+            // A quarter of 128 slots and half as much for queues; or twice the share at each server.
+            CPPUNIT_ASSERT_EQUAL(isFull ? 48U : 64U, m_pool->inFlight());
+        }
+    }
+
 private:
     long ejectedCount(TimePoint now) const
     {
