wire, daemon: encrypt and authenticate traffic between instances with ZeroMQ CURVE

All instances of a deployment listen under one server key pair and prove themselves by a client key pair; public client keys of two generations are accepted. The test shows that both generations talk, and that neither a stranger's key nor plain text gets through.

--- a/daemons/peridotd/src/Daemon.cpp
+++ b/daemons/peridotd/src/Daemon.cpp
@@ -41,6 +41,7 @@
         writeMetric(page, "peridot_peer_messages_dropped_total", "counter", counters.dropped);
         writeMetric(page, "peridot_peer_messages_unparsable_total", "counter", counters.unparsable);
         writeMetric(page, "peridot_peer_messages_foreign_total", "counter", counters.foreign);
+        writeMetric(page, "peridot_peer_connections_refused_total", "counter", counters.refusedConnections);
     }
 
 }
--- a/daemons/peridotd/src/Settings.cpp
+++ b/daemons/peridotd/src/Settings.cpp
@@ -94,13 +94,21 @@
         return value;
     }
 
+    std::string z85Secret(JsonReader& reader, const std::string& name)
+    {
+        std::string value = secretFrom(reader, name);
+        if (value.size() != z85KeyLength)
+            reader.fail(name, "a file with a Z85 key of 40 characters");
+        return value;
+    }
+
     CurveKeys readCurve(JsonReader& reader)
     {
         CurveKeys keys;
+        keys.serverPublicKey = z85Key(reader, "server_public_key");
+        keys.serverSecretKey = z85Secret(reader, "server_secret_key_file");
         keys.publicKey = z85Key(reader, "public_key");
-        keys.secretKey = secretFrom(reader, "secret_key_file");
-        if (keys.secretKey.size() != z85KeyLength)
-            reader.fail("secret_key_file", "a file with a Z85 key of 40 characters");
+        keys.secretKey = z85Secret(reader, "secret_key_file");
         keys.allowedPublicKeys = reader.strings("allowed_public_keys", true);
         for (const auto& key : keys.allowedPublicKeys) {
             if (key.size() != z85KeyLength)
--- a/libs/membership/tests/RelayAgentTest.cpp
+++ b/libs/membership/tests/RelayAgentTest.cpp
@@ -165,8 +165,9 @@
     {
         Setting setting;
         setting.changeDigest = [](const Digest&) { return std::nullopt; };
-        setting.changeHeartbeat
-            = [](Heartbeat& message) { message.evidence = { EvidenceKind::StoreUnavailable, 5, 0s }; };
+        setting.changeHeartbeat = [](Heartbeat& message) {
+            message.evidence = { EvidenceKind::StoreUnavailable, 5, 0s };
+        };
         CPPUNIT_ASSERT(setting.run() == EvidenceKind::None);
         setting.changeHeartbeat = [](Heartbeat& message) { message.evidence = { EvidenceKind::Confirmed, 5, 0s }; };
         CPPUNIT_ASSERT(setting.run() == EvidenceKind::Confirmed);
--- a/libs/wire/include/wire/PeerTransport.h
+++ b/libs/wire/include/wire/PeerTransport.h
@@ -15,14 +15,17 @@
 
 namespace peridot {
 
-/** Keys of one generation for ZeroMQ CURVE, each in Z85 text of 40 characters. */
+/**
+ * Keys for ZeroMQ CURVE in Z85 text of 40 characters. All instances of a deployment listen under one server key pair;
+ * a connecting instance proves itself by its client key pair.
+ */
 struct CurveKeys {
+    std::string serverPublicKey;
+    std::string serverSecretKey;
     std::string publicKey;
     std::string secretKey;
-    /** Public keys of the instances that may connect: those of the current and of the next or previous generation. */
+    /** Public keys of the instances that may connect, of the old and of the new generation during a replacement. */
     std::vector<std::string> allowedPublicKeys;
-    /** Key under which every peer listens. Instances of a deployment share one key pair per generation. */
-    std::string serverPublicKey;
 };
 
 struct PeerTransportSettings {
@@ -43,6 +46,7 @@
     std::uint64_t dropped = 0; // Did not fit a queue or had no reachable peer.
     std::uint64_t unparsable = 0;
     std::uint64_t foreign = 0; // Of another deployment.
+    std::uint64_t refusedConnections = 0; // For want of an allowed client key.
 };
 
 class PeerTransport {
--- a/libs/wire/src/PeerTransport.cpp
+++ b/libs/wire/src/PeerTransport.cpp
@@ -72,6 +72,9 @@
     void setCommonOptions(zmq::socket_t&) const;
     void takeQueued();
     void sendOne(const Outgoing&);
+    void openAuthentication();
+    void answerAuthentication();
+    bool isAllowed(const zmq::message_t& credentials) const;
     bool sendByRouter(const std::string& address, const std::string& bytes);
     bool sendByDealer(const std::string& address, const std::string& bytes);
     DealerSocket& dealerFor(const std::string& address);
@@ -93,6 +96,7 @@
 
     // Owned by the thread once it runs.
     zmq::context_t m_context { 1 };
+    zmq::socket_t m_authenticator; // Answers libzmq's questions about clients (ZAP, RFC 27). Only if encrypted.
     zmq::socket_t m_router;
     std::map<std::string, DealerSocket> m_dealers; // By peer address.
     std::map<std::string, std::string> m_routes; // Peer address to the routing id of the peer's inbound connection.
@@ -106,6 +110,7 @@
     std::atomic<std::uint64_t> m_dropped { 0 };
     std::atomic<std::uint64_t> m_unparsable { 0 };
     std::atomic<std::uint64_t> m_foreign { 0 };
+    std::atomic<std::uint64_t> m_refusedConnections { 0 };
 };
 
 void PeerTransport::Implementation::setCommonOptions(zmq::socket_t& socket) const
@@ -123,6 +128,12 @@
         setCommonOptions(m_router);
         // Without it the socket would drop replies to vanished peers silently, and they would go uncounted.
         m_router.set(zmq::sockopt::router_mandatory, true);
+        if (m_settings.isEncrypted) {
+            openAuthentication();
+            m_router.set(zmq::sockopt::curve_server, true);
+            m_router.set(zmq::sockopt::curve_secretkey, m_settings.curve.serverSecretKey);
+            m_router.set(zmq::sockopt::zap_domain, "peridot");
+        }
         m_router.bind("tcp://" + m_settings.address);
     } catch (const zmq::error_t& error) {
         return makeError(ErrorCode::Unavailable, "bind peer address", m_settings.address, error.what());
@@ -131,6 +142,48 @@
     return {};
 }
 
+void PeerTransport::Implementation::openAuthentication()
+{
+    m_authenticator = zmq::socket_t(m_context, zmq::socket_type::rep);
+    m_authenticator.set(zmq::sockopt::linger, 0);
+    m_authenticator.bind("inproc://zeromq.zap.01");
+}
+
+bool PeerTransport::Implementation::isAllowed(const zmq::message_t& credentials) const
+{
+    constexpr std::size_t keyBytes = 32;
+    constexpr std::size_t textBytes = 41;
+    if (credentials.size() != keyBytes)
+        return false;
+    std::array<char, textBytes> text {};
+    if (!zmq_z85_encode(text.data(), credentials.data<std::uint8_t>(), keyBytes))
+        return false;
+    const auto& allowed = m_settings.curve.allowedPublicKeys;
+    return std::find(allowed.begin(), allowed.end(), text.data()) != allowed.end();
+}
+
+void PeerTransport::Implementation::answerAuthentication()
+{
+    // Frames: version, request id, domain, address, routing id, mechanism, credentials.
+    std::vector<zmq::message_t> frames;
+    do {
+        frames.emplace_back();
+        if (!m_authenticator.recv(frames.back(), zmq::recv_flags::dontwait))
+            return;
+    } while (frames.back().more());
+    const bool isKnownClient = frames.size() == 7 && frames[5].to_string_view() == "CURVE" && isAllowed(frames[6]);
+    if (!isKnownClient) {
+        ++m_refusedConnections;
+        logDropped("client_key_not_allowed", frames.size() > 3 ? frames[3].to_string() : "");
+    }
+    const std::string requestId = frames.size() > 1 ? frames[1].to_string() : "";
+    const std::array<std::string, 6> reply { "1.0", requestId, isKnownClient ? "200" : "400",
+        isKnownClient ? "" : "key not allowed", "", "" };
+    for (std::size_t i = 0; i < reply.size(); ++i)
+        m_authenticator.send(
+            zmq::buffer(reply[i]), i + 1 < reply.size() ? zmq::send_flags::sndmore : zmq::send_flags::none);
+}
+
 void PeerTransport::Implementation::send(const std::string& address, PeerMessage message)
 {
     {
@@ -153,7 +206,8 @@
 
 PeerTransportCounters PeerTransport::Implementation::counters() const
 {
-    return { m_messagesSent, m_bytesSent, m_messagesReceived, m_bytesReceived, m_dropped, m_unparsable, m_foreign };
+    return { m_messagesSent, m_bytesSent, m_messagesReceived, m_bytesReceived, m_dropped, m_unparsable, m_foreign,
+        m_refusedConnections };
 }
 
 void PeerTransport::Implementation::stop()
@@ -176,6 +230,8 @@
             items.push_back({ dealer.socket.handle(), 0, ZMQ_POLLIN, 0 });
             dealers.push_back(&dealer.socket);
         }
+        if (m_settings.isEncrypted)
+            items.push_back({ m_authenticator.handle(), 0, ZMQ_POLLIN, 0 });
         try {
             zmq::poll(items, std::chrono::milliseconds { 1000 });
             if ((items[1].revents & ZMQ_POLLIN) != 0)
@@ -186,6 +242,8 @@
             }
             if ((items[0].revents & ZMQ_POLLIN) != 0)
                 takeQueued();
+            if (m_settings.isEncrypted && (items.back().revents & ZMQ_POLLIN) != 0)
+                answerAuthentication();
             closeIdleSockets();
         } catch (const zmq::error_t& error) {
             logDropped("transport_error", error.what());
@@ -193,6 +251,7 @@
     }
     m_dealers.clear();
     m_router.close();
+    m_authenticator.close();
 }
 
 void PeerTransport::Implementation::takeQueued()
@@ -260,6 +319,11 @@
         return it->second;
     zmq::socket_t socket(m_context, zmq::socket_type::dealer);
     setCommonOptions(socket);
+    if (m_settings.isEncrypted) {
+        socket.set(zmq::sockopt::curve_serverkey, m_settings.curve.serverPublicKey);
+        socket.set(zmq::sockopt::curve_publickey, m_settings.curve.publicKey);
+        socket.set(zmq::sockopt::curve_secretkey, m_settings.curve.secretKey);
+    }
     socket.set(zmq::sockopt::reconnect_ivl, 100);
     socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
     socket.connect("tcp://" + address);
--- a/libs/wire/tests/PeerTransportTest.cpp
+++ b/libs/wire/tests/PeerTransportTest.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -34,10 +35,11 @@
 
     /** A transport that keeps what it received. */
     struct Peer {
-        explicit Peer(const std::string& name, const std::string& deployment = "plesni-caj")
+        explicit Peer(const std::string& name, const std::string& deployment = "plesni-caj", const CurveKeys& keys = {})
             : address(freeAddress())
-            , transport({ DeploymentId { deployment }, InstanceId { name }, 1, address }, log,
-                  [this](const Envelope& envelope) { receive(envelope); })
+            , transport(
+                  { DeploymentId { deployment }, InstanceId { name }, 1, address, 1000, !keys.publicKey.empty(), keys },
+                  log, [this](const Envelope& envelope) { receive(envelope); })
         {
             CPPUNIT_ASSERT(transport.start().has_value());
         }
@@ -65,11 +67,24 @@
 
 }
 
+namespace {
+
+    std::pair<std::string, std::string> makeKeyPair()
+    {
+        std::array<char, 41> publicKey {};
+        std::array<char, 41> secretKey {};
+        CPPUNIT_ASSERT_EQUAL(0, zmq_curve_keypair(publicKey.data(), secretKey.data()));
+        return { publicKey.data(), secretKey.data() };
+    }
+
+}
+
 class PeerTransportTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PeerTransportTest);
     CPPUNIT_TEST(deliversInBothDirections);
     CPPUNIT_TEST(dropsGarbageAndOtherDeployments);
     CPPUNIT_TEST(refusesAnAddressInUse);
+    CPPUNIT_TEST(acceptsBothGenerationsOfKeysOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -125,6 +140,34 @@
         CPPUNIT_ASSERT(started.error().message.find("in use") != std::string::npos);
     }
 
+    // While keys are replaced, instances with the old and with the new key talk; a stranger and plain text don't.
+    void acceptsBothGenerationsOfKeysOnly()
+    {
+        const auto server = makeKeyPair();
+        const auto oldKeys = makeKeyPair();
+        const auto newKeys = makeKeyPair();
+        const auto keysOf = [&](const std::pair<std::string, std::string>& own) {
+            return CurveKeys { server.first, server.second, own.first, own.second, { oldKeys.first, newKeys.first } };
+        };
+        Peer target("target", "plesni-caj", keysOf(newKeys));
+        Peer stranger("stranger", "plesni-caj", keysOf(makeKeyPair()));
+        Peer plain("plain");
+        stranger.transport.send(target.address, ConfigurationPull { 1, 1 });
+        plain.transport.send(target.address, ConfigurationPull { 2, 2 });
+        while (target.transport.counters().refusedConnections == 0)
+            std::this_thread::sleep_for(std::chrono::milliseconds { 5 });
+
+        Peer current("current", "plesni-caj", keysOf(newKeys));
+        Peer previous("previous", "plesni-caj", keysOf(oldKeys));
+        current.transport.send(target.address, ConfigurationPull { 3, 3 });
+        previous.transport.send(target.address, ConfigurationPull { 4, 4 });
+        CPPUNIT_ASSERT(target.waitFor(2));
+        target.transport.send(previous.address, ConfigurationPull { 5, 5 });
+        CPPUNIT_ASSERT(previous.waitFor(1));
+        for (const auto& envelope : target.received)
+            CPPUNIT_ASSERT(envelope.sender.value() == "current" || envelope.sender.value() == "previous");
+    }
+
 private:
     static void sendPlainBytes(const std::string& address)
     {
