--- a/libs/store/src/HttpStoreClient.cpp
+++ b/libs/store/src/HttpStoreClient.cpp
@@ -80,8 +80,12 @@
             auto result = decodeStoreResult(body);
             if (!result && result.error().code == ErrorCode::ProtocolViolation)
                 return missingAnswer("status " + std::to_string(status) + " with a body that is no store result");
-            if (!result)
+            if (!result) {
                 result.error().peer = m_peer;
+                // A read takes no effect, whatever became of it.
+                if (!m_isWrite && result.error().code == ErrorCode::OutcomeUnknown)
+                    result.error().code = ErrorCode::Unavailable;
+            }
             return result;
         }
 
--- a/tools/peridot-backend/BackendConnection.cpp
+++ b/tools/peridot-backend/BackendConnection.cpp
@@ -2,8 +2,8 @@
 
 #include "BackendConnection.h"
 
-#include "WallTime.h"
 #include "program/CheckedBody.h"
+#include "program/Clocks.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
--- a/tools/peridot-backend/ServedServer.cpp
+++ b/tools/peridot-backend/ServedServer.cpp
@@ -3,7 +3,7 @@
 #include "ServedServer.h"
 
 #include "BackendConnection.h"
-#include "WallTime.h"
+#include "program/Clocks.h"
 
 #include <nlohmann/json.hpp>
 
--- a/tools/peridot-load/LookupCache.cpp
+++ b/tools/peridot-load/LookupCache.cpp
@@ -2,8 +2,8 @@
 
 #include "LookupCache.h"
 
-#include "LoadTime.h"
 #include "HttpClients.h"
+#include "program/Clocks.h"
 
 #include <nlohmann/json.hpp>
 
--- a/tools/peridot-load/WorkspaceCallers.cpp
+++ b/tools/peridot-load/WorkspaceCallers.cpp
@@ -4,9 +4,9 @@
 #include "WorkspaceCallers.h"
 
 #include "HttpClients.h"
-#include "LoadTime.h"
 #include "ResponseCheck.h"
 #include "program/CheckedBody.h"
+#include "program/Clocks.h"
 
 #include <nlohmann/json.hpp>
 
@@ -219,7 +219,7 @@
                 outcome = Outcome::RefusedAbove;
         }
         m_statistics.add(outcome, code, now - work->started);
-        isRepeated = outcome != Outcome::Completed && work->attempt < m_caller.attempts && now < m_end;
+        isRepeated = outcome != Outcome::Completed && work->attempt < m_caller.attempts;
         if (isRepeated)
             m_statistics.addRetry();
     }
--- a/tools/peridot-platform/PlatformServer.cpp
+++ b/tools/peridot-platform/PlatformServer.cpp
@@ -2,6 +2,7 @@
 
 #include "PlatformServer.h"
 
+#include "program/Clocks.h"
 #include "store/StoreJson.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -18,11 +19,6 @@
     constexpr Duration longestHold = std::chrono::seconds { 60 };
     const std::string instancesPath = "/v1/instances";
 
-    TimePoint currentTime()
-    {
-        return TimePoint { std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()) };
-    }
-
     std::uint16_t statusOf(const StoreResult& result)
     {
         if (result)
@@ -43,7 +39,7 @@
 
 PlatformServer::PlatformServer(const PlatformSettings& settings, EventLog& log)
     : m_log(log)
-    , m_platform(settings, currentTime())
+    , m_platform(settings, monotonicTime())
     , m_endpoint(settings.listen,
           [this](const HttpRequest& request, const HttpEndpoint::Respond& respond) { handle(request, respond); })
 {
@@ -60,6 +56,8 @@
         std::lock_guard lock(m_mutex);
         m_isClosing = true;
         held.swap(m_held);
+        for (const auto& timer : m_delayed)
+            timer->cancel();
     }
     release(held);
     m_endpoint.close();
@@ -67,7 +65,7 @@
     for (;;) {
         {
             std::lock_guard lock(m_mutex);
-            if (m_delayed == 0)
+            if (m_delayed.empty())
                 return;
         }
         std::this_thread::sleep_for(std::chrono::milliseconds { 1 });
@@ -105,7 +103,7 @@
         if (!faults)
             return httpError(faults.error());
         std::lock_guard lock(m_mutex);
-        m_platform.setFaults(*faults, currentTime());
+        m_platform.setFaults(*faults, monotonicTime());
         m_log.write(LogLevel::Info, LogLine("faults_set").add("faults", encodePlatformFaults(*faults).dump()));
     }
     std::lock_guard lock(m_mutex);
@@ -127,7 +125,7 @@
     if (request.method != "DELETE")
         return methodNotAllowed();
     std::lock_guard lock(m_mutex);
-    if (!m_platform.instances().remove(name, currentTime()))
+    if (!m_platform.instances().remove(name, monotonicTime()))
         return httpError(404, "not_found", "no such instance");
     m_log.write(LogLevel::Info, LogLine("instance_removed").add("name", name));
     return { 200, "{}" };
@@ -147,7 +145,7 @@
     if (!instance)
         return httpError(instance.error());
     std::lock_guard lock(m_mutex);
-    m_platform.instances().put(*instance, currentTime());
+    m_platform.instances().put(*instance, monotonicTime());
     m_log.write(LogLevel::Info,
         LogLine("instance_put")
             .add("name", name)
@@ -170,7 +168,7 @@
     if (!state)
         return httpError(state.error());
     std::lock_guard lock(m_mutex);
-    if (!m_platform.instances().setState(name, *state, currentTime()))
+    if (!m_platform.instances().setState(name, *state, monotonicTime()))
         return httpError(404, "not_found", "no such instance");
     m_log.write(LogLevel::Info, LogLine("instance_state_set").add("name", name).add("state", enumName(*state)));
     return { 200, "{}" };
@@ -178,6 +176,7 @@
 
 void PlatformServer::handleStore(const HttpRequest& message, const HttpEndpoint::Respond& respond)
 {
+    releaseOld();
     auto request = decodeStoreRequest(message.body);
     if (!request)
         return respond(storeReply(tl::make_unexpected(request.error())));
@@ -187,7 +186,7 @@
     Duration delay { 0 };
     {
         std::lock_guard lock(m_mutex);
-        admission = m_platform.admit(*request, caller, currentTime());
+        admission = m_platform.admit(*request, caller, monotonicTime());
         delay = m_platform.delay();
     }
     switch (admission) {
@@ -206,24 +205,26 @@
 {
     if (delay.count() == 0)
         return run(request, respond);
-    {
-        std::lock_guard lock(m_mutex);
-        ++m_delayed;
-    }
-    auto timer = std::make_shared<boost::asio::steady_timer>(
-        crossplat::threadpool::shared_instance().service(), std::chrono::microseconds { delay });
-    timer->async_wait(
-        [this, timer, request = std::move(request), respond = std::move(respond)](const boost::system::error_code&) {
+    auto timer = std::make_shared<boost::asio::steady_timer>(crossplat::threadpool::shared_instance().service(), delay);
+    std::lock_guard lock(m_mutex);
+    m_delayed.insert(timer);
+    timer->async_wait([this, timer, request = std::move(request), respond = std::move(respond)](
+                          const boost::system::error_code& error) {
+        if (error)
+            respond(storeRefusal(503, ErrorCode::Unavailable, "the store is closing"));
+        else
             run(request, respond);
-            std::lock_guard lock(m_mutex);
-            --m_delayed;
-        });
+        std::lock_guard inner(m_mutex);
+        m_delayed.erase(timer);
+    });
+    if (m_isClosing)
+        timer->cancel();
 }
 
 void PlatformServer::run(const StoreRequest& request, const HttpEndpoint::Respond& respond)
 {
     std::unique_lock lock(m_mutex);
-    auto execution = m_platform.execute(request, currentTime());
+    auto execution = m_platform.execute(request, monotonicTime());
     lock.unlock();
     if (execution.isAnswerLost)
         return hold(respond);
@@ -231,12 +232,20 @@
 }
 
 void PlatformServer::hold(HttpEndpoint::Respond respond)
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_held.push_back({ monotonicTime(), std::move(respond) });
+    }
+    releaseOld();
+}
+
+void PlatformServer::releaseOld()
 {
     std::list<HeldRequest> old;
     {
         std::lock_guard lock(m_mutex);
-        const auto now = currentTime();
-        m_held.push_back({ now, std::move(respond) });
+        const auto now = monotonicTime();
         while (!m_held.empty() && (m_isClosing || m_held.front().since + longestHold < now))
             old.splice(old.end(), m_held, m_held.begin());
     }
--- a/tools/peridot-platform/PlatformServer.h
+++ b/tools/peridot-platform/PlatformServer.h
@@ -6,8 +6,12 @@
 #include "base/EventLog.h"
 #include "program/HttpEndpoint.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <list>
+#include <memory>
 #include <mutex>
+#include <set>
 
 namespace peridot {
 
@@ -38,6 +42,7 @@
     void runLater(StoreRequest, Duration delay, HttpEndpoint::Respond);
     void run(const StoreRequest&, const HttpEndpoint::Respond&);
     void hold(HttpEndpoint::Respond);
+    void releaseOld();
     static void release(const std::list<HeldRequest>&);
 
     EventLog& m_log;
@@ -47,7 +52,7 @@
     // listener closes only once each request has been answered. Guarded by m_mutex.
     std::list<HeldRequest> m_held;
     bool m_isClosing = false; // Guarded by m_mutex.
-    std::size_t m_delayed = 0; // Requests waiting for their delay. Guarded by m_mutex.
+    std::set<std::shared_ptr<boost::asio::steady_timer>> m_delayed; // Of delayed requests. Guarded by m_mutex.
     HttpEndpoint m_endpoint;
 };
 
--- a/tools/peridot-platform/tests/HttpStoreClientTest.cpp
+++ b/tools/peridot-platform/tests/HttpStoreClientTest.cpp
@@ -130,6 +130,7 @@
     CPPUNIT_TEST(writesDontReuseConnections);
     CPPUNIT_TEST(closedConnectionIsOutcomeUnknownAndSentOnce);
     CPPUNIT_TEST(rateIsUnavailable);
+    CPPUNIT_TEST(closesUnderDelayAndHang);
     CPPUNIT_TEST(destructorEndsOpenCalls);
     CPPUNIT_TEST(listFollowsInstanceRequests);
     CPPUNIT_TEST(badInputGetsClearErrors);
@@ -275,6 +276,21 @@
         }
     }
 
+    // The program must end on SIGTERM although a delayed or withheld answer is still due.
+    void closesUnderDelayAndHang()
+    {
+        setFaults(R"({"slow_ms":3600000})");
+        std::promise<StoreResult> delayed;
+        m_client->call(
+            ObjectPut { "k", "v" }, patience, [&delayed](StoreResult result) { delayed.set_value(std::move(result)); });
+        while (send(m_settings.listen, "GET", "/v1/statistics").second.find(R"("entry-1":1)") == std::string::npos)
+            std::this_thread::sleep_for(1ms);
+        m_server->close();
+        const auto result = delayed.get_future().get();
+        CPPUNIT_ASSERT(!result);
+        CPPUNIT_ASSERT_MESSAGE(result.error().describe(), result.error().code == ErrorCode::Unavailable);
+    }
+
     void destructorEndsOpenCalls()
     {
         setFaults(R"({"hang":true})");
--- a/tools/peridot-backend/WallTime.h
+++ b/tools/program/include/program/Clocks.h
@@ -1,4 +1,4 @@
-// The clocks of the process.
+// The clocks of the programs.
 
 #pragma once
 
--- a/tools/program/include/program/HttpEndpoint.h
+++ b/tools/program/include/program/HttpEndpoint.h
@@ -24,6 +24,7 @@
     std::uint16_t status = 200;
     std::string body;
     std::string contentType = "application/json";
+    std::map<std::string, std::string> headers = {};
 };
 
 /** `{"code", "message"}`. */
--- a/tools/program/src/HttpEndpoint.cpp
+++ b/tools/program/src/HttpEndpoint.cpp
@@ -42,6 +42,8 @@
     {
         http::http_response response(reply.status);
         response.set_body(std::move(reply.body), reply.contentType);
+        for (const auto& [name, value] : reply.headers)
+            response.headers().add(name, value);
         message.reply(response).then([](const pplx::task<void>& task) {
             try {
                 task.get();
