--- a/tools/peridot-trial/src/EntryFleet.cpp
+++ b/tools/peridot-trial/src/EntryFleet.cpp
@@ -490,6 +490,9 @@
     Process& it = m_processes[n];
     if (!it.isUp)
         return;
+    // The deadlines of its requests may have passed during the pause.
+    if (it.isPaused)
+        m_judge.resumed(n, m_loop.now());
     it.isUp = false;
     it.isPaused = false;
     it.isLeaving = false;
