membership: measure encoded messages instead of estimates

Cause: the wire codec exists, so an estimate of sizes is no longer needed. Change: membership-scale encodes each message; "traffic" measures only that.

--- a/libs/membership/benchmarks/MembershipScale.cpp
+++ b/libs/membership/benchmarks/MembershipScale.cpp
@@ -3,6 +3,7 @@
 // are those of MessageSize.h. Usage: membership-scale [members...]
 
 #include "../tests/Fleet.h"
+#include "wire/Codec.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -143,16 +144,29 @@
         static_cast<unsigned long long>(lapses));
 }
 
-void measure(std::size_t members)
+std::size_t encodedBytes(const MembershipMessage& message, const MemberInfo& sender)
+{
+    Envelope envelope { DeploymentId("plesni-caj"), sender.id, sender.incarnation, sender.peerAddress, {} };
+    envelope.message = std::visit([](const auto& body) { return PeerMessage(body); }, message);
+    return encode(envelope).size();
+}
+
+void measure(std::size_t members, bool isTrafficOnly)
 {
     auto settings = settingsOf(sizeOf(members), members);
     settings.measuresCpu = true;
+    settings.encodedBytes = encodedBytes;
     Fleet fleet(settings);
     const auto started = timeUntil(fleet, [&] { return fleet.missing().empty(); });
     std::printf(
         "measure=start members=%zu settled_after_ms=%ld missing=\"%s\"\n", members, started, fleet.missing().c_str());
     fleet.run(10s);
     measureTraffic(fleet, members);
+    if (isTrafficOnly) {
+        measureOutage(fleet, members);
+        std::fflush(stdout);
+        return;
+    }
     measureChange(fleet, members);
     const auto domain = fleet.domains()[1];
     std::vector<std::size_t> whole;
@@ -176,11 +190,13 @@
 int main(int argc, char** argv)
 {
     std::vector<std::size_t> sizes { 11, 60, 300, 1500 };
-    if (argc > 1)
+    const bool isTrafficOnly = argc > 1 && std::string(argv[1]) == "traffic";
+    const int first = isTrafficOnly ? 2 : 1;
+    if (argc > first)
         sizes.clear();
-    for (int i = 1; i < argc; ++i)
+    for (int i = first; i < argc; ++i)
         sizes.push_back(static_cast<std::size_t>(std::strtoul(argv[i], nullptr, 10)));
     for (const auto members : sizes)
-        measure(members);
+        measure(members, isTrafficOnly);
     return 0;
 }
--- a/libs/membership/tests/Fleet.cpp
+++ b/libs/membership/tests/Fleet.cpp
@@ -1,7 +1,5 @@
 #include "Fleet.h"
 
-#include "MessageSize.h"
-
 #include <algorithm>
 #include <chrono>
 
@@ -229,10 +227,8 @@
 {
     auto& sender = m_instances[from];
     auto& receiver = m_instances[to];
-    if (const auto* message = std::get_if<MembershipMessage>(&payload)) {
-        const auto bytes = encodedBytes(*message, sender.info);
-        sender.sent.messages += 1;
-        sender.sent.bytes += bytes + transportBytes;
+    if (const auto* message = std::get_if<MembershipMessage>(&payload); message && m_settings.encodedBytes) {
+        const auto bytes = m_settings.encodedBytes(*message, sender.info);
         for (auto* instance : { &sender, &receiver }) {
             instance->traffic.messages += 1;
             instance->traffic.encodedBytes += bytes;
@@ -499,7 +495,6 @@
 {
     for (auto& instance : m_instances) {
         instance.traffic = {};
-        instance.sent = {};
         instance.cpu = Duration { 0 };
         instance.evidenceLapses = 0;
     }
--- a/libs/membership/tests/Fleet.h
+++ b/libs/membership/tests/Fleet.h
@@ -42,9 +42,17 @@
     std::size_t services = 3;
     FleetMutation mutation = FleetMutation::None;
     bool measuresCpu = false;
+    /** Size of a message in its envelope. Traffic is measured only if this is set. */
+    std::function<std::size_t(const MembershipMessage&, const MemberInfo& sender)> encodedBytes;
     EventLog* log = nullptr; // For tracing a failure.
 };
 
+/**
+ * Per message: TCP/IP header with timestamps (52), the peer's acknowledgement (52, often carried by its next message),
+ * ZMTP frame headers (4).
+ */
+inline constexpr std::size_t transportBytes = 108;
+
 struct Traffic {
     std::uint64_t messages = 0;
     std::uint64_t encodedBytes = 0;
@@ -69,7 +77,6 @@
         TimePoint nextWriteStep;
         std::optional<ConfigurationVersion> written; // In the store, but not accepted yet.
         Traffic traffic; // Sent and received.
-        Traffic sent;
         Duration cpu { 0 };
         std::uint64_t evidenceLapses = 0; // Ticks without fresh evidence.
     };
