membership: pull digests once per second while the store is reached

Cause: at 1,500 members the pulls between relays take 44 KB/s of a relay's 147 KB/s, and at 11 members, where everyone is a relay, most of 13.4 KB/s. With the store in reach, evidence does not come from digests. Change: digests are pulled every 1 s instead of 500 ms while the own domain reaches the store; a pull without an answer is repeated after 400 ms. Changed lists, new versions and the end of reachability are still pulled at once.

--- a/libs/membership/include/membership/RelayAgent.h
+++ b/libs/membership/include/membership/RelayAgent.h
@@ -101,6 +101,7 @@
     void pullChanged(TimePoint now, std::vector<Send>&);
     /** While the own domain cannot reach the store: asks again for attestations that are getting old. */
     void refreshAttestations(TimePoint now);
+    void repeatUnanswered(TimePoint now);
     void probeLost(TimePoint now, std::vector<Send>&);
     /** Pulls from the sender from now on if the relay that is pulled does not answer. */
     void followTakeover(const DigestPull&, TimePoint now);
--- a/libs/membership/src/RelayAgent.cpp
+++ b/libs/membership/src/RelayAgent.cpp
@@ -55,13 +55,14 @@
         hurry(now);
     if (now >= m_nextPulls) {
         m_lastPulls = now;
-        m_nextPulls = now + m_settings.digestInterval;
+        m_nextPulls = now + (isOwnDomainReachable() ? m_settings.steadyDigestInterval : m_settings.digestInterval);
         m_toldVersion = m_view.known(m_self.failureDomain).version;
         updateOwnReport(now);
         pullAll(silent, now, sends);
         probeLost(now, sends);
     } else {
         refreshAttestations(now);
+        repeatUnanswered(now);
         pullChanged(now, sends);
     }
     m_changed.clear();
@@ -204,6 +205,18 @@
     }
 }
 
+void RelayAgent::repeatUnanswered(TimePoint now)
+{
+    for (const auto& [id, peer] : m_peers) {
+        if (!peer.unansweredSince)
+            continue;
+        if (now - peer.lastPull >= m_settings.digestRetry)
+            m_changed.insert(id);
+        if (now - *peer.unansweredSince >= m_settings.relaySilence)
+            hurry(now); // Another target is chosen with the next pulls.
+    }
+}
+
 void RelayAgent::probeLost(TimePoint now, std::vector<Send>& sends)
 {
     std::erase_if(m_lost, [&](const auto& item) { return now - item.second.since > probeFor; });
