peridot: take workspace units from another region's ledger when the own one has none

Cause: while a region's ledger was between holders, or while demand had moved and the shares had not, all requests of the region were refused for up to 8 s although other regions' ledgers had units of the same workspace. Change: a request that finds no unit of its own region's ledger asks the holders of two other regions. Units are conserved whichever ledger grants them, so the limit stays exact. A ledger doesn't count the demand of other regions as a claim on share, so that shares still move to where callers are.

--- a/libs/budget/include/budget/RegionLedger.h
+++ b/libs/budget/include/budget/RegionLedger.h
@@ -20,6 +20,12 @@
 
 class LedgerBucket;
 
+/** Where a holder is. Demand of other regions is served, but does not hold share in this region. */
+enum class DemandOrigin {
+    OwnRegion,
+    OtherRegion,
+};
+
 /** Use of one budget in this region, for decisions on moving share. */
 struct BudgetUsage {
     double demandPerSecond = 0; // Units spent plus units refused, over 8 s, or over 2 s after a change.
@@ -89,7 +95,7 @@
     std::uint64_t epoch() const noexcept { return m_epoch; }
 
     /** Answers a demand. Inactive ledgers grant nothing; a repeated demand gets the same answer again. */
-    BudgetGrant answer(const BudgetDemand&, TimePoint now);
+    BudgetGrant answer(const BudgetDemand&, TimePoint now, DemandOrigin = DemandOrigin::OwnRegion);
 
     BudgetUsage usage(const BudgetKey&, TimePoint now);
 
@@ -112,7 +118,7 @@
 
     LedgerBucket& bucket(const BudgetKey&, TimePoint now);
     LedgerBucket* findBucket(const BudgetKey&, TimePoint now);
-    void answerItem(const BudgetDemand&, const BudgetDemandItem&, TimePoint now, BudgetGrant&);
+    void answerItem(const BudgetDemand&, const BudgetDemandItem&, DemandOrigin, TimePoint now, BudgetGrant&);
     void sweep(TimePoint now);
 
     RegionId m_region;
--- a/libs/budget/src/LedgerBucket.cpp
+++ b/libs/budget/src/LedgerBucket.cpp
@@ -167,7 +167,8 @@
         m_entitlement += static_cast<double>(amount) / s_nanoPerUnit / static_cast<double>(m_totalWanted);
 }
 
-bool LedgerBucket::report(const InstanceId& id, std::uint64_t sequence, const BudgetDemandItem& item, TimePoint now)
+bool LedgerBucket::report(
+    const InstanceId& id, std::uint64_t sequence, const BudgetDemandItem& item, DemandOrigin origin, TimePoint now)
 {
     const auto [it, isNew] = m_holders.try_emplace(id);
     auto& holder = it->second;
@@ -179,9 +180,11 @@
     // The totals of the first report may reach back to before this ledger started.
     const auto spent = holder.hasReported ? std::max<Units>(0, item.spentTotal - holder.spentTotal) : 0;
     const auto refused = holder.hasReported ? std::max<Units>(0, item.refusedTotal - holder.refusedTotal) : 0;
-    m_spent.add(spent, now);
-    m_refused.add(refused, now);
-    m_refusedTotal += refused;
+    if (origin == DemandOrigin::OwnRegion) {
+        m_spent.add(spent, now);
+        m_refused.add(refused, now);
+        m_refusedTotal += refused;
+    }
     holder.hasReported = true;
     holder.spentTotal = std::max(holder.spentTotal, item.spentTotal);
     holder.refusedTotal = std::max(holder.refusedTotal, item.refusedTotal);
--- a/libs/budget/src/LedgerBucket.h
+++ b/libs/budget/src/LedgerBucket.h
@@ -57,7 +57,7 @@
      * Takes what a demand says about earlier grants. Units neither spent nor held return to the bucket. Returns false
      * if the demand has named this budget before: `held` says nothing about what this same demand was granted.
      */
-    bool report(const InstanceId&, std::uint64_t sequence, const BudgetDemandItem&, TimePoint now);
+    bool report(const InstanceId&, std::uint64_t sequence, const BudgetDemandItem&, DemandOrigin, TimePoint now);
     /** Grants up to @p wanted units. A holder that wants more than there is gets a part in proportion. */
     BudgetGrantItem grant(const InstanceId&, const BudgetDemandItem&, TimePoint now);
     /** A new process runs under this name: what the old one had stays outstanding until it expires. */
--- a/libs/budget/src/RegionLedger.cpp
+++ b/libs/budget/src/RegionLedger.cpp
@@ -119,7 +119,7 @@
 
 bool RegionLedger::isActive(TimePoint now) const noexcept { return m_isActive && now >= m_grantsFrom; }
 
-BudgetGrant RegionLedger::answer(const BudgetDemand& demand, TimePoint now)
+BudgetGrant RegionLedger::answer(const BudgetDemand& demand, TimePoint now, DemandOrigin origin)
 {
     BudgetGrant grant;
     grant.region = m_region;
@@ -150,19 +150,19 @@
     holder.lastDemand = now;
     for (const auto& item : demand.items) {
         if (isPlausible(item))
-            answerItem(demand, item, now, grant);
+            answerItem(demand, item, origin, now, grant);
     }
     holder.answer = grant.items;
     return grant;
 }
 
 void RegionLedger::answerItem(
-    const BudgetDemand& demand, const BudgetDemandItem& item, TimePoint now, BudgetGrant& grant)
+    const BudgetDemand& demand, const BudgetDemandItem& item, DemandOrigin origin, TimePoint now, BudgetGrant& grant)
 {
     auto* target = findBucket(item.key, now);
     if (!target)
         grant.items.push_back({ item.key, 0, unitLifetime, unitLifetime });
-    else if (target->report(demand.holder, demand.sequence, item, now))
+    else if (target->report(demand.holder, demand.sequence, item, origin, now))
         grant.items.push_back(target->grant(demand.holder, item, now));
 }
 
--- a/peridot/src/Node.cpp
+++ b/peridot/src/Node.cpp
@@ -40,6 +40,14 @@
         return sites;
     }
 
+    NodeSettings checked(NodeSettings settings)
+    {
+        const auto& regions = settings.regions;
+        if (std::find(regions.begin(), regions.end(), settings.self.region) == regions.end())
+            throw std::invalid_argument("the region of the instance is not among the regions of the deployment");
+        return settings;
+    }
+
     BlockDelta blocksOf(const NodeSettings& settings)
     {
         BlockDelta delta;
@@ -64,7 +72,7 @@
 class Node::Implementation {
 public:
     Implementation(NodeSettings settings, EventLog& log)
-        : m_settings(std::move(settings))
+        : m_settings(checked(std::move(settings)))
         , m_history(log)
         , m_budgets(m_settings.self.id, m_settings.self.incarnation, m_settings.regions, log)
         , m_blocks(sitesOf(m_settings.regions))
@@ -73,8 +81,6 @@
         , m_admission(m_settings, m_budgets, m_history, m_calls)
         , m_log(log)
     {
-        if (!m_budgets.find(m_settings.self.region))
-            throw std::invalid_argument("the region of the instance is not among the regions of the deployment");
         if (auto applied = m_blocks.apply(blocksOf(m_settings)); !applied)
             throw std::invalid_argument(applied.error().describe());
     }
--- a/peridot/src/RegionLedgerHost.cpp
+++ b/peridot/src/RegionLedgerHost.cpp
@@ -279,7 +279,9 @@
     followLease(now);
     if (m_activeTerm == 0 || m_isLeaving)
         return std::nullopt;
-    return m_ledger.answer(demand, now);
+    const auto* holder = m_membership.view().find(demand.holder);
+    const bool isForeign = holder && holder->region != m_settings.self.region;
+    return m_ledger.answer(demand, now, isForeign ? DemandOrigin::OtherRegion : DemandOrigin::OwnRegion);
 }
 
 void RegionLedgerHost::leave(TimePoint now)
--- a/peridot/src/RequestAdmission.cpp
+++ b/peridot/src/RequestAdmission.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+    // Ledgers that an instance asks for units of a workspace: its own region's, and others if that has none, because
+    // the demand has moved or its holder has failed. Each one more costs a demand per round trip and instance.
+    constexpr std::size_t lenderCount = 3;
     constexpr Duration claimTimeout = std::chrono::seconds { 1 };
     constexpr Duration contactRetry = std::chrono::seconds { 2 };
     constexpr Duration duplicateRetry = std::chrono::seconds { 1 };
@@ -37,12 +40,16 @@
 
 RequestAdmission::RequestAdmission(
     const NodeSettings& settings, BudgetHolders& budgets, DecisionHistory& history, StoreCallTable& calls)
-    : m_settings(settings)
-    , m_budgets(budgets)
-    , m_history(history)
+    : m_history(history)
     , m_calls(calls)
     , m_claims(settings.self.id.value() + "/" + std::to_string(settings.self.incarnation))
 {
+    const auto& regions = settings.regions;
+    const auto own = std::find(regions.begin(), regions.end(), settings.self.region);
+    PERIDOT_ASSERT(own != regions.end(), "the own region is among the regions");
+    const auto first = static_cast<std::size_t>(own - regions.begin());
+    for (std::size_t i = 0; i < std::min(regions.size(), lenderCount); ++i)
+        m_lenders.push_back(budgets.find(regions[(first + i) % regions.size()]));
 }
 
 RequestOutput RequestAdmission::begin(const RequestHead& head, const ServingView& view, TimePoint now)
@@ -114,12 +121,9 @@
 
 RequestOutput RequestAdmission::spend(AdmittedRequest request, const ServingView& view, TimePoint now)
 {
-    auto* holder = m_budgets.find(m_settings.self.region);
-    PERIDOT_ASSERT(holder, "the own region is among the regions");
     SpendOutcome outcome;
-    const bool hasEarlier = m_waiters.hasWaiting(request.workspace);
-    if (!hasEarlier) {
-        outcome = holder->trySpend(rateKey(request.workspace), 1, now);
+    if (!m_waiters.hasWaiting(request.workspace)) {
+        outcome = trySpend(request.workspace, now);
         if (outcome.isSpent)
             return claim(std::move(request), view, now);
     }
@@ -134,6 +138,28 @@
     return output;
 }
 
+SpendOutcome RequestAdmission::trySpend(const WorkspaceId& workspace, TimePoint now)
+{
+    const auto key = rateKey(workspace);
+    SpendOutcome outcome;
+    outcome.retryAfter = Duration::max();
+    for (auto* lender : m_lenders) {
+        const auto attempt = lender->trySpend(key, 1, now);
+        if (attempt.isSpent)
+            return attempt;
+        outcome.retryAfter = std::min(outcome.retryAfter, attempt.retryAfter);
+    }
+    return outcome;
+}
+
+bool RequestAdmission::trySpendHeld(const WorkspaceId& workspace, TimePoint now)
+{
+    // A refused attempt counts as demand, so only holders that have units are tried.
+    const auto key = rateKey(workspace);
+    return std::any_of(m_lenders.begin(), m_lenders.end(),
+        [&](auto* lender) { return lender->held(key, now) > 0 && lender->trySpend(key, 1, now).isSpent; });
+}
+
 RequestOutput RequestAdmission::claim(AdmittedRequest request, const ServingView& view, TimePoint now)
 {
     if (request.trafficClass.isIdempotent || request.head.idempotencyKey.empty())
@@ -225,11 +251,8 @@
 RequestOutput RequestAdmission::tick(const ServingView& view, TimePoint now)
 {
     RequestOutput output;
-    auto* holder = m_budgets.find(m_settings.self.region);
     for (const auto& workspace : m_waiters.workspaces()) {
-        const auto key = rateKey(workspace);
-        while (auto waiting = m_waiters.takeFirstIf(
-                   workspace, [&] { return holder->held(key, now) > 0 && holder->trySpend(key, 1, now).isSpent; }))
+        while (auto waiting = m_waiters.takeFirstIf(workspace, [&] { return trySpendHeld(workspace, now); }))
             output.append(claim(std::move(waiting->request), view, now));
     }
     for (const auto& waiting : m_waiters.takeExpired(now)) {
--- a/peridot/src/RequestAdmission.h
+++ b/peridot/src/RequestAdmission.h
@@ -42,14 +42,16 @@
     Classified classify(const RequestHead&, const ServingView&, TimePoint now) const;
     tl::expected<AuthenticatedKey, Refusal> authenticate(const RequestHead&, const Configuration&) const;
     RequestOutput spend(AdmittedRequest, const ServingView&, TimePoint now);
+    /** Spends a unit of the own region's ledger or, if it has none, of another region's. */
+    SpendOutcome trySpend(const WorkspaceId&, TimePoint now);
+    bool trySpendHeld(const WorkspaceId&, TimePoint now);
     RequestOutput claim(AdmittedRequest, const ServingView&, TimePoint now);
     RequestOutput route(AdmittedRequest, const ServingView&, TimePoint now);
     Actions takeClaimCalls(TimePoint now);
     void refuseExpiredClaims(TimePoint now, RequestOutput&);
     void refuse(const RequestHead&, const WorkspaceId&, const Refusal&, RequestOutput&);
 
-    const NodeSettings& m_settings;
-    BudgetHolders& m_budgets;
+    std::vector<BudgetHolder*> m_lenders; // That of the own region first.
     DecisionHistory& m_history;
     StoreCallTable& m_calls;
     UnitWaiters m_waiters;
