--- a/daemons/peridotd/src/ForwardedRequest.cpp
+++ b/daemons/peridotd/src/ForwardedRequest.cpp
@@ -98,8 +98,10 @@
         m_bodyBytes += size;
         m_isBodyTooLong = m_bodyBytes > m_context.limits.bodyBytes;
         if (!m_isBodyTooLong && m_bodyPipe) {
-            m_bodyPipe->putn_nocopy(data, size).wait();
-            return m_stage != Stage::Answered;
+            // After the answer, the rest of the body is read and dropped, so that it does not pile up.
+            if (m_stage != Stage::Answered)
+                m_bodyPipe->putn_nocopy(data, size).wait();
+            return true;
         }
         if (!m_isBodyTooLong) {
             m_body.insert(m_body.end(), data, data + size);
--- a/daemons/peridotd/src/HttpReplies.cpp
+++ b/daemons/peridotd/src/HttpReplies.cpp
@@ -1,5 +1,7 @@
 #include "HttpReplies.h"
 
+#include "BodyReader.h"
+
 #include <nlohmann/json.hpp>
 
 namespace peridot {
@@ -76,6 +78,14 @@
     auto response = makeRefusal(refusal, id);
     response.headers()["Connection"] = "close";
     send(request, response);
+    discardBody(request);
+}
+
+void discardBody(const web::http::http_request& request)
+{
+    // cpprestsdk sends a response only after it has read the whole body, and buffers what nobody reads.
+    BodyReader::read(
+        request.body(), [](const std::uint8_t*, std::size_t) { return true; }, [](const std::exception_ptr&) {});
 }
 
 std::uint64_t headerBytes(const web::http::http_request& request)
--- a/daemons/peridotd/src/HttpReplies.h
+++ b/daemons/peridotd/src/HttpReplies.h
@@ -21,7 +21,11 @@
 /** Sends a response whose delivery needs no further attention. */
 void send(const web::http::http_request&, const web::http::http_response&);
 
-/** Sends a refusal and closes the connection, for input after which the rest of the connection cannot be trusted. */
+/** Reads what is left of the body and drops it. */
+void discardBody(const web::http::http_request&);
+
+/** Sends a refusal, drops the body and closes the connection, for input after which the rest of the connection cannot
+ * be trusted. */
 void sendLastRefusal(const web::http::http_request&, const Refusal&, const RequestId&);
 
 /** Sum of the header lines' lengths. */
