load: compare what callers were told with what the backend servers ran

A refusal that says not_run, or an unknown outcome, can only be judged with the backend servers' counts. peridot-load now reads them at the end and reports requests that are not idempotent and ran twice, requests that ran although they were refused as not run, and completed requests without a run; it ends with exit code 1 if it finds any.

--- a/tools/peridot-load/LoadSettings.cpp
+++ b/tools/peridot-load/LoadSettings.cpp
@@ -52,6 +52,7 @@
         settings.entryAddresses = reader.strings("entry_addresses", true);
         if (settings.entryAddresses.empty())
             reader.fail("entry_addresses", "at least one address");
+        settings.controlAddresses = reader.strings("control_addresses");
         settings.duration = reader.milliseconds("duration_ms", 1ms, 24h, settings.duration);
         settings.requestTimeout = reader.milliseconds("request_timeout_ms", 1ms, 1h, settings.requestTimeout);
         settings.openRequests
--- a/tools/peridot-load/LoadSettings.h
+++ b/tools/peridot-load/LoadSettings.h
@@ -39,6 +39,7 @@
 struct LoadSettings {
     DeploymentId deployment;
     std::vector<std::string> entryAddresses; // Where look-ups start.
+    std::vector<std::string> controlAddresses; // Of the backend server processes, for the audit; empty for none.
     Duration duration = std::chrono::seconds { 10 };
     Duration requestTimeout = std::chrono::seconds { 5 };
     std::uint32_t openRequests = 2000; // Per workspace; beyond them an open loop skips and counts the request.
--- a/tools/peridot-load/WorkspaceCallers.cpp
+++ b/tools/peridot-load/WorkspaceCallers.cpp
@@ -47,8 +47,9 @@
 }
 
 WorkspaceCallers::WorkspaceCallers(
-    const LoadSettings& settings, const CallerSettings& caller, const CallerRun& run, EventLog& log)
-    : m_log(log)
+    const LoadSettings& settings, const CallerSettings& caller, const CallerRun& run, RunAudit& audit, EventLog& log)
+    : m_audit(audit)
+    , m_log(log)
     , m_runId(run.id)
     , m_settings(settings)
     , m_caller(caller)
@@ -218,6 +219,7 @@
             else
                 outcome = Outcome::RefusedAbove;
         }
+        m_audit.record(work->echo(), work->kind->isIdempotent, outcome);
         m_statistics.add(outcome, code, now - work->started);
         isRepeated = outcome != Outcome::Completed && work->attempt < m_caller.attempts;
         if (isRepeated)
--- a/tools/peridot-load/WorkspaceCallers.h
+++ b/tools/peridot-load/WorkspaceCallers.h
@@ -7,6 +7,7 @@
 #include "LookupCache.h"
 #include "ReferenceBucket.h"
 #include "ResponseCheck.h"
+#include "RunAudit.h"
 #include "base/EventLog.h"
 
 #include <condition_variable>
@@ -26,7 +27,7 @@
 /** Thread-safe. */
 class WorkspaceCallers : public std::enable_shared_from_this<WorkspaceCallers> {
 public:
-    WorkspaceCallers(const LoadSettings&, const CallerSettings&, const CallerRun&, EventLog&);
+    WorkspaceCallers(const LoadSettings&, const CallerSettings&, const CallerRun&, RunAudit&, EventLog&);
 
     void start();
     /** Returns once the time is over and every request has its outcome. */
@@ -62,6 +63,7 @@
     void end();
     const RequestKind& drawKind();
 
+    RunAudit& m_audit;
     EventLog& m_log;
     const std::string m_runId;
     const LoadSettings m_settings;
--- a/tools/peridot-load/main.cpp
+++ b/tools/peridot-load/main.cpp
@@ -42,13 +42,37 @@
     return "";
 }
 
-nlohmann::json run(const LoadSettings& settings, EventLog& log)
+/** Prints and reports what the backend servers counted. Returns false if it contradicts what callers were told. */
+bool reportAudit(const LoadSettings& settings, const RunAudit& audit, nlohmann::json& report)
 {
+    if (settings.controlAddresses.empty())
+        return true;
+    const auto runs = fetchRuns(settings.controlAddresses);
+    if (!runs) {
+        std::cout << "audit: " << runs.error().describe() << '\n';
+        report["audit"] = nullptr;
+        return false;
+    }
+    const auto result = audit.compare(*runs);
+    std::cout << fmt::format("audit: {} runs; {} ran twice, {} ran although refused, {} completed without a run\n",
+        result.runs, result.ranTwice.size(), result.ranAlthoughRefused.size(), result.completedWithoutRun.size());
+    report["audit"] = result.toJson();
+    return result.isClean();
+}
+
+struct RunResult {
+    nlohmann::json report;
+    bool isClean = false; // No wrong response, and the audit found nothing.
+};
+
+RunResult run(const LoadSettings& settings, EventLog& log)
+{
+    RunAudit audit;
     const auto runId = fmt::format("{:08x}", std::random_device {}());
     std::vector<std::shared_ptr<WorkspaceCallers>> workspaces;
     for (const auto& caller : settings.callers) {
         workspaces.push_back(std::make_shared<WorkspaceCallers>(
-            settings, caller, CallerRun { runId, settings.randomSeed + workspaces.size() }, log));
+            settings, caller, CallerRun { runId, settings.randomSeed + workspaces.size() }, audit, log));
     }
     for (const auto& workspace : workspaces)
         workspace->start();
@@ -66,7 +90,8 @@
     }
     std::cout << tableLine("total", total) << "refused<: inside the workspace's rate; refused>: above it\n";
     report["total"] = total.toJson();
-    return report;
+    const bool isClean = reportAudit(settings, audit, report) && total.count(Outcome::Wrong) == 0;
+    return { std::move(report), isClean };
 }
 
 }
@@ -92,14 +117,14 @@
     }
     configureLogging(program.name, line.logLevel);
     SpdlogEventLog log;
-    const auto report = run(*settings, log);
+    const auto result = run(*settings, log);
     if (const auto file = line.extra.find("json"); file != line.extra.end()) {
         std::ofstream out(file->second);
-        out << report.dump(2) << '\n';
+        out << result.report.dump(2) << '\n';
         if (!out.flush()) {
             std::cerr << program.name << ": cannot write " << file->second << '\n';
             return static_cast<int>(ExitCode::Failure);
         }
     }
-    return static_cast<int>(ExitCode::Success);
+    return static_cast<int>(result.isClean ? ExitCode::Success : ExitCode::Failure);
 }
--- a/tools/peridot-load/tests/LoadTest.cpp
+++ b/tools/peridot-load/tests/LoadTest.cpp
@@ -5,6 +5,7 @@
 #include "LookupCache.h"
 #include "ReferenceBucket.h"
 #include "ResponseCheck.h"
+#include "RunAudit.h"
 #include "program/CheckedBody.h"
 
 #include <cppunit/TestFixture.h>
@@ -24,6 +25,7 @@
     CPPUNIT_TEST(refusedRequestsDontCountAgainstTheRate);
     CPPUNIT_TEST(percentilesAreExact);
     CPPUNIT_TEST(mergesStatistics);
+    CPPUNIT_TEST(auditFindsContradictions);
     CPPUNIT_TEST(parsesLookups);
     CPPUNIT_TEST(rejectsBadSettings);
     CPPUNIT_TEST_SUITE_END();
@@ -166,6 +168,24 @@
         CPPUNIT_ASSERT_EQUAL(7.0, document["latency_ms"]["p50"].get<double>());
     }
 
+    void auditFindsContradictions()
+    {
+        RunAudit audit;
+        audit.record("get", true, Outcome::Completed);
+        audit.record("post", false, Outcome::Unknown);
+        audit.record("refused", false, Outcome::RefusedAbove);
+        // Attempts with one idempotency key: the first was refused, the second ran.
+        audit.record("keyed", false, Outcome::RefusedInside);
+        audit.record("keyed", false, Outcome::Completed);
+        const auto clean = audit.compare({ { "get", 2 }, { "post", 1 }, { "keyed", 1 }, { "of another run", 5 } });
+        CPPUNIT_ASSERT(clean.isClean());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 4 }, clean.runs);
+        const auto dirty = audit.compare({ { "post", 2 }, { "refused", 1 }, { "keyed", 1 } });
+        CPPUNIT_ASSERT(dirty.ranTwice == std::vector<std::string> { "post" });
+        CPPUNIT_ASSERT(dirty.ranAlthoughRefused == std::vector<std::string> { "refused" });
+        CPPUNIT_ASSERT(dirty.completedWithoutRun == std::vector<std::string> { "get" });
+    }
+
     void parsesLookups()
     {
         const auto lookup = parseLookup(
--- a/tools/peridot-load/tests/WorkspaceCallersTest.cpp
+++ b/tools/peridot-load/tests/WorkspaceCallersTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     NullEventLog m_log;
+    RunAudit m_audit;
     std::string m_address;
     std::unique_ptr<HttpEndpoint> m_entry;
     std::vector<std::string> m_listed; // Addresses in look-up answers.
@@ -72,7 +73,7 @@
         caller.closedLoopCallers = 2;
         caller.attempts = attempts;
         caller.mix = { kind };
-        auto callers = std::make_shared<WorkspaceCallers>(settings, caller, CallerRun { "run", 1 }, m_log);
+        auto callers = std::make_shared<WorkspaceCallers>(settings, caller, CallerRun { "run", 1 }, m_audit, m_log);
         callers->start();
         callers->wait();
         return callers->statistics();
