--- a/libs/membership/include/membership/LiveView.h
+++ b/libs/membership/include/membership/LiveView.h
@@ -43,6 +43,9 @@
     void addDomain(const FailureDomainId&, const RegionId&);
     void setReport(const FailureDomainId&, ConfigurationVersion lowest, std::vector<ServiceLoad> loads, TimePoint asOf);
 
+    /** Takes the sum over a region's domains, as relays tell it to members. */
+    void setRegionLoads(const RegionId&, std::vector<ServiceLoad> loads, TimePoint asOf);
+
     /** Takes what a relay said. The list may still differ afterwards; then the next request names what is known. */
     void apply(const DomainSummary&, TimePoint now);
     /**
@@ -59,7 +62,7 @@
     const MemberInfo* find(const InstanceId&) const;
     void forEachLive(const std::function<void(const MemberInfo&)>&) const;
     std::size_t liveCount() const noexcept;
-    /** Load of the live domains of a region, summed by service. */
+    /** Load of the live domains of a region, summed by service: as a relay told it, or by newer reports of domains. */
     std::vector<ServiceLoad> loads(const RegionId&) const;
     /** Lowest version in force over the live domains that report one; 0 if one of them reports none. */
     ConfigurationVersion lowestVersion() const noexcept;
@@ -98,6 +101,12 @@
     DomainSummary summarise(const FailureDomainId&, std::size_t firstEntry) const;
 
     std::map<FailureDomainId, Domain> m_domains;
+    struct RegionLoads {
+        std::vector<ServiceLoad> loads;
+        TimePoint asOf;
+    };
+
+    std::map<RegionId, RegionLoads> m_regionLoads;
     std::map<InstanceId, FailureDomainId> m_domainOf;
     std::map<InstanceId, TimePoint> m_removed; // By this instance as a relay.
     std::deque<HistoryEntry> m_history; // Oldest first.
--- a/libs/membership/include/membership/MembershipSettings.h
+++ b/libs/membership/include/membership/MembershipSettings.h
@@ -26,7 +26,7 @@
     Duration introduction = std::chrono::seconds { 3 };
     std::size_t introductionMembers = 6;
     Duration memberSilence = std::chrono::seconds { 2 };
-    // Loads of all domains are told in every n-th reply to a member.
+    // Loads of all regions are told in every n-th reply to a member.
     std::uint32_t loadsEvery = 4;
 };
 
--- a/libs/membership/include/membership/Messages.h
+++ b/libs/membership/include/membership/Messages.h
@@ -134,7 +134,9 @@
     ConfigurationVersion lowestVersion = 0; // In force at every live member of all domains.
     bool isReachabilityWitnessed = false; // Another domain has just confirmed to know that this one reaches the store.
     std::uint64_t viewHash = 0;
-    std::vector<DomainSummary> domains; // Only domains that changed since the versions in the heartbeat.
+    // Only domains that changed since the versions in the heartbeat. In some replies, one domain of each region carries
+    // loads; in these summaries they are sums over the region.
+    std::vector<DomainSummary> domains;
 };
 
 struct DigestPull {
--- a/libs/membership/include/membership/RelayAgent.h
+++ b/libs/membership/include/membership/RelayAgent.h
@@ -113,6 +113,7 @@
     void hurry(TimePoint now) noexcept;
     void recordHeartbeat(const Heartbeat&, TimePoint now);
     std::vector<DomainSummary> viewFor(const Heartbeat&, TimePoint now);
+    void addRegionLoads(std::map<FailureDomainId, DomainSummary>&, TimePoint now) const;
     bool isOwnDomainReachable() const;
     bool isPeerReachable(TimePoint now) const;
     /** By the heartbeats of the members; empty if one of them has made no statement yet. */
--- a/libs/membership/src/LiveView.cpp
+++ b/libs/membership/src/LiveView.cpp
@@ -130,6 +130,11 @@
     it->second.reportTime = asOf;
 }
 
+void LiveView::setRegionLoads(const RegionId& region, std::vector<ServiceLoad> loads, TimePoint asOf)
+{
+    m_regionLoads.insert_or_assign(region, RegionLoads { std::move(loads), asOf });
+}
+
 void LiveView::apply(const DomainSummary& summary, TimePoint now)
 {
     const auto& id = summary.failureDomain;
@@ -244,9 +249,11 @@
 std::vector<ServiceLoad> LiveView::loads(const RegionId& region) const
 {
     std::map<ServiceId, ServiceLoad> sums;
+    std::optional<TimePoint> newest;
     for (const auto& [id, domain] : m_domains) {
         if (domain.region != region || domain.version.isSilent)
             continue;
+        newest = std::max(newest, domain.reportTime);
         for (const auto& load : domain.loads) {
             auto& sum = sums[load.service];
             sum.service = load.service;
@@ -255,6 +262,8 @@
             sum.queued += load.queued;
         }
     }
+    if (const auto told = m_regionLoads.find(region); told != m_regionLoads.end() && told->second.asOf >= newest)
+        return told->second.loads;
     std::vector<ServiceLoad> result;
     result.reserve(sums.size());
     for (auto& [service, sum] : sums)
--- a/libs/membership/src/MemberAgent.cpp
+++ b/libs/membership/src/MemberAgent.cpp
@@ -164,8 +164,12 @@
 
 void MemberAgent::takeView(Relay& relay, const HeartbeatReply& reply, TimePoint now)
 {
-    for (const auto& summary : reply.domains)
+    for (auto summary : reply.domains) {
+        if (!summary.loads.empty())
+            m_view.setRegionLoads(summary.region, std::move(summary.loads), now - summary.age);
+        summary.loads.clear();
         m_view.apply(summary, now);
+    }
     relay.namesKnown = m_view.hash() != reply.viewHash;
 }
 
--- a/libs/membership/src/RelayAgent.cpp
+++ b/libs/membership/src/RelayAgent.cpp
@@ -344,15 +344,8 @@
         for (auto& summary : *changes)
             summaries.emplace(summary.failureDomain, std::move(summary));
     }
-    if (m_members[message.sender.id].viewReplies++ % m_settings.loadsEvery == 0) {
-        for (const auto& [id, domain] : m_view.domains()) {
-            auto report = m_view.report(id, now);
-            auto& summary = summaries.try_emplace(id, report).first->second;
-            summary.lowestVersion = report.lowestVersion;
-            summary.loads = std::move(report.loads);
-            summary.age = report.age;
-        }
-    }
+    if (m_members[message.sender.id].viewReplies++ % m_settings.loadsEvery == 0)
+        addRegionLoads(summaries, now);
     std::vector<DomainSummary> result;
     result.reserve(summaries.size());
     for (auto& [id, summary] : summaries)
@@ -360,6 +353,19 @@
     return result;
 }
 
+void RelayAgent::addRegionLoads(std::map<FailureDomainId, DomainSummary>& summaries, TimePoint now) const
+{
+    std::set<RegionId> told;
+    for (const auto& [id, domain] : m_view.domains()) {
+        if (domain.version.isSilent || !domain.reportTime || !told.insert(domain.region).second)
+            continue;
+        auto report = m_view.report(id, now);
+        auto& summary = summaries.try_emplace(id, report).first->second;
+        summary.loads = m_view.loads(domain.region);
+        summary.age = report.age;
+    }
+}
+
 Digest RelayAgent::receive(const DigestPull& message, const std::string& address, TimePoint now)
 {
     m_highest = std::max(m_highest, message.highestVersion);
--- a/libs/membership/tests/FleetTest.cpp
+++ b/libs/membership/tests/FleetTest.cpp
@@ -60,6 +60,14 @@
         expectSettled(fleet);
         for (const auto& domain : fleet.domains())
             CPPUNIT_ASSERT_EQUAL(relaysPerDomain, fleet.relays(domain).size());
+        // Members and relays see the load of all 8 instances of each region.
+        for (const auto i : fleet.live()) {
+            for (const auto& region : fleet.regions()) {
+                const auto loads = fleet.instance(i).membership->view().loads(region);
+                CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, loads.size());
+                CPPUNIT_ASSERT_EQUAL(8U * 128, loads.front().slots);
+            }
+        }
     }
 
     void deadMembersLeaveAndComeBack()
