--- a/peridot/src/ControlPlane.cpp
+++ b/peridot/src/ControlPlane.cpp
@@ -93,7 +93,10 @@
     Actions actions;
     send(m_membership.tick(now), actions);
     m_reader.heard(m_membership.highestVersion());
-    take(m_reader.tick(m_membership.pollsStore(now), m_membership.configurationPeers(), now), now, actions);
+    // Ranking the peers costs more than the rest of a tick, and they are needed only while a version is missing.
+    const bool needsPeers = m_reader.highestHeard() > m_reader.version();
+    const auto peers = needsPeers ? m_membership.configurationPeers() : std::vector<InstanceId> {};
+    take(m_reader.tick(m_membership.pollsStore(now), peers, now), now, actions);
     take(m_writer.tick(now), now, actions);
     auto ledgerActions = m_ledger.tick(now);
     std::move(ledgerActions.begin(), ledgerActions.end(), std::back_inserter(actions));
