budget: forget shares when a ledger is deactivated

A process that hands its ledger over and gets it back keeps its RegionLedger. Until its share table had read the rows again, it granted under the shares of its earlier term, which other regions may have taken since. The new test failed with 5 units granted instead of 0.

--- a/libs/budget/include/budget/RegionLedger.h
+++ b/libs/budget/include/budget/RegionLedger.h
@@ -89,7 +89,7 @@
 
     /** Starts granting at @p grantsFrom under lease epoch @p epoch. Buckets refill from then on. */
     void activate(std::uint64_t epoch, TimePoint grantsFrom, TimePoint now);
-    /** Stops granting and forgets all balances. */
+    /** Stops granting and forgets all balances and shares. */
     void deactivate();
     bool isActive(TimePoint now) const noexcept;
     std::uint64_t epoch() const noexcept { return m_epoch; }
--- a/libs/budget/src/RegionLedger.cpp
+++ b/libs/budget/src/RegionLedger.cpp
@@ -40,7 +40,7 @@
 {
     auto& bucket = m_buckets[key];
     if (!bucket)
-        bucket = std::make_unique<LedgerBucket>(std::max(now, m_grantsFrom));
+        bucket = std::make_unique<LedgerBucket>(m_isActive ? std::max(now, m_grantsFrom) : TimePoint::max());
     return *bucket;
 }
 
@@ -112,8 +112,9 @@
     m_isActive = false;
     m_holders.clear();
     m_inherited.clear();
-    for (auto& [key, bucket] : m_buckets)
-        bucket->reset(TimePoint::max()); // No refill until the next activation.
+    m_removed.clear();
+    // Shares may have changed when the ledger is activated again.
+    m_buckets.clear();
     m_log.write(LogLevel::Info, LogLine("ledger_deactivated").add("region", m_region).add("epoch", m_epoch));
 }
 
--- a/libs/budget/tests/RegionLedgerTest.cpp
+++ b/libs/budget/tests/RegionLedgerTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(refillsNoFasterThanTheRate);
     CPPUNIT_TEST(grantsNothingBeforeItsTime);
     CPPUNIT_TEST(holdsNoTokensWhileInactive);
+    CPPUNIT_TEST(forgetsSharesWhenDeactivated);
     CPPUNIT_TEST(repeatsTheAnswerToARepeatedDemand);
     CPPUNIT_TEST(ignoresDemandsThatArriveLate);
     CPPUNIT_TEST(ignoresASecondItemOfTheSameKey);
@@ -93,6 +94,19 @@
         CPPUNIT_ASSERT_EQUAL(Units { 8 }, m_ledger.usage(key, start + 4 * second).tokens);
     }
 
+    void forgetsSharesWhenDeactivated()
+    {
+        // After a handover to another instance and back, the share may be smaller.
+        fill();
+        const auto snapshot = m_ledger.snapshot(start);
+        m_ledger.deactivate();
+        m_ledger.activate(3, start + second, start + second);
+        m_ledger.restore(snapshot, start + second);
+        CPPUNIT_ASSERT_EQUAL(Units { 0 }, granted(demand("a", 1, 5), start + second));
+        m_ledger.setShare(key, { 100'000, 3 }, start + second);
+        CPPUNIT_ASSERT_EQUAL(Units { 3 }, granted(demand("a", 2, 5), start + second));
+    }
+
     void repeatsTheAnswerToARepeatedDemand()
     {
         fill();
