routing: do not let remains of old sheds decide between equally loaded servers

A server that had shed 20 s ago lost every comparison with an equally loaded one, as its share of sheds fades but never reaches 0. A difference below 0.01 no longer counts.

--- a/libs/routing/src/BackendPool.cpp
+++ b/libs/routing/src/BackendPool.cpp
@@ -19,6 +19,9 @@
     // One choice in this many ignores the loads, so that a server with a wrong report is still observed.
     constexpr std::uint64_t explorationInterval = 32;
 
+    // Remains of old reports and sheds must not decide between servers that are equally loaded.
+    constexpr double smallestDifference = 0.01;
+
     constexpr double latencyGain = 0.05; // Weight of a new latency in the mean of the pool.
     constexpr double baselineRise = 1.0005; // Per request; a lasting slowdown becomes the baseline in some 1,000.
 
@@ -178,7 +181,7 @@
     const auto* chosen = &nextInTurn(*usable);
     if (usable->size() > 1) {
         const auto* other = &drawOther(*usable, *chosen);
-        if (other->score < chosen->score && m_random() % explorationInterval)
+        if (other->score + smallestDifference < chosen->score && m_random() % explorationInterval)
             chosen = other;
     }
     // A turn that was missed is not made up for. The random part keeps instances from taking the same order.
--- a/libs/routing/tests/BackendPoolTest.cpp
+++ b/libs/routing/tests/BackendPoolTest.cpp
@@ -47,6 +47,8 @@
     CPPUNIT_TEST(removalOfServersKeepsTheCap);
     CPPUNIT_TEST(coldServerStartsSlowly);
     CPPUNIT_TEST(prefersServerWithLessReportedLoad);
+    CPPUNIT_TEST(prefersServerWithLessOfItsOwnWork);
+    CPPUNIT_TEST(avoidsServerThatSheds);
     CPPUNIT_TEST(oldReportLosesItsWeight);
     CPPUNIT_TEST(contradictedReportsLoseTrust);
     CPPUNIT_TEST(latencyContradictsReports);
@@ -196,6 +198,27 @@
         CPPUNIT_ASSERT(timesChosen(id(1), start, 400) > 350);
     }
 
+    /** Without reports, only its own requests tell an instance which server is busy. */
+    void prefersServerWithLessOfItsOwnWork()
+    {
+        m_pool->setServers(start, servers(2));
+        for (int i = 0; i < 3; ++i)
+            m_pool->started(start, id(0), 1);
+        CPPUNIT_ASSERT(timesChosen(id(1), start, 400) > 350);
+    }
+
+    /** A server that sheds is full whatever it reports; retries and new requests belong elsewhere for a while. */
+    void avoidsServerThatSheds()
+    {
+        m_pool->setServers(start, servers(2));
+        for (int i = 0; i < 3; ++i) {
+            m_pool->started(start, id(0), 1);
+            m_pool->finished(start, id(0), 1, BackendOutcome::Shed, 1ms);
+        }
+        CPPUNIT_ASSERT(timesChosen(id(1), start, 400) > 350);
+        CPPUNIT_ASSERT(timesChosen(id(1), start + 20s, 400) < 250);
+    }
+
     /** A frozen report must not steer for long. */
     void oldReportLosesItsWeight()
     {
