daemon: close kept connections while leaving

A caller that keeps its connection to a leaving instance would lose a request to the end of the process; responses now carry Connection: close from the start of leaving.

--- a/daemons/peridotd/src/ForwardedRequest.cpp
+++ b/daemons/peridotd/src/ForwardedRequest.cpp
@@ -190,7 +190,9 @@
 {
     if (!markAnswered())
         return;
-    send(m_request, makeRefusal(refusal, m_head.id));
+    auto response = makeRefusal(refusal, m_head.id);
+    closeIfLeaving(response);
+    send(m_request, response);
     logFinished(refusal.status, refusal.code, 0);
 }
 
@@ -409,9 +411,17 @@
     return true;
 }
 
+void ForwardedRequest::closeIfLeaving(http::http_response& response) const
+{
+    // Callers that keep their connection would lose a request to the end of the process.
+    if (m_context.driver.state() == InstanceState::Leaving)
+        response.headers()["Connection"] = "close";
+}
+
 http::http_response ForwardedRequest::callerResponse(const Attempt& attempt) const
 {
     auto response = makeResponse(attempt.response.status_code(), m_head.id);
+    closeIfLeaving(response);
     for (const auto& [name, value] : screenResponseHeaders(headerList(attempt.response.headers())))
         response.headers().add(name, value);
     return response;
--- a/daemons/peridotd/src/ForwardedRequest.h
+++ b/daemons/peridotd/src/ForwardedRequest.h
@@ -89,6 +89,7 @@
     DispatchOutcomeKind outcomeOf(const std::exception_ptr&);
     void logBroken(const char* message) const;
     web::http::http_response callerResponse(const Attempt&) const;
+    void closeIfLeaving(web::http::http_response&) const;
     void callerHasGone();
 
     bool markAnswered();
