daemon: answer requests whose caller has gone

A caller that disconnected within a streamed body got no reply, and cpprestsdk releases a connection only after one: the connection stayed open for good and would have blocked the close of the listener. Found by the new test of a broken upload, which hung at that point; it also shows that no part of an upload runs as a whole.

--- a/daemons/peridotd/src/ForwardedRequest.cpp
+++ b/daemons/peridotd/src/ForwardedRequest.cpp
@@ -498,6 +498,7 @@
 void ForwardedRequest::failed(const AttemptPointer& attempt, DispatchOutcomeKind kind, Duration retryAfter)
 {
     bool isStreamed = false;
+    bool isAbandoned = false;
     {
         const std::lock_guard lock(m_mutex);
         if (attempt->isOver)
@@ -505,7 +506,10 @@
         attempt->isOver = true;
         isStreamed = m_stage == Stage::Streaming;
         m_mayHaveRun |= kind != DispatchOutcomeKind::Shed && kind != DispatchOutcomeKind::NotSent;
-        if (m_stage == Stage::Dispatched)
+        isAbandoned = m_stage == Stage::Dispatched && kind == DispatchOutcomeKind::Cancelled;
+        if (isAbandoned)
+            m_stage = Stage::Answered;
+        else if (m_stage == Stage::Dispatched)
             m_stage = Stage::Waiting;
         else if (isStreamed)
             m_stage = Stage::Answered;
@@ -515,6 +519,12 @@
         attempt->pipe->close(std::ios_base::out, std::make_exception_ptr(std::runtime_error("the response broke off")));
         logFinished(attempt->response.status_code(), std::string(enumName(kind)), attempt->receivedBytes);
     }
+    if (isAbandoned) {
+        // cpprestsdk releases a connection only after a reply, even if no one reads it.
+        const Refusal refusal { 400, "body_incomplete", "the body broke off", RunState::Unknown, {} };
+        sendLastRefusal(m_request, refusal, m_head.id);
+        logFinished(refusal.status, refusal.code, 0);
+    }
     m_context.driver.finished(m_head.id,
         DispatchOutcome { kind, steadyNow() - attempt->start, retryAfter, attempt->receivedBytes, isStreamed, {} });
 }
--- a/daemons/peridotd/src/OperatorListener.cpp
+++ b/daemons/peridotd/src/OperatorListener.cpp
@@ -85,8 +85,12 @@
             return false;
         },
         [this, request, id, body](const std::exception_ptr& error) {
-            if (!error)
+            if (!error) {
                 operate(request, id, *body);
+                return;
+            }
+            // cpprestsdk releases a connection only after a reply, even if no one reads it.
+            sendLastRefusal(request, { 400, "body_incomplete", "the body broke off", RunState::NotRun, {} }, id);
         });
 }
 
--- a/daemons/peridotd/tests/DaemonTest.cpp
+++ b/daemons/peridotd/tests/DaemonTest.cpp
@@ -156,6 +156,7 @@
     CPPUNIT_TEST(responseOfAnotherRequestIsNotDelivered);
     CPPUNIT_TEST(deadlineEndsTheRequest);
     CPPUNIT_TEST(bodiesArriveWhole);
+    CPPUNIT_TEST(brokenUploadIsNotRun);
     CPPUNIT_TEST(badKeysAreRefused);
     CPPUNIT_TEST(badInputGetsAClearError);
     CPPUNIT_TEST(malformedHttpDoesNotStopTheDaemon);
@@ -237,6 +238,22 @@
             std::count(received.begin(), received.end(), 'l') - lettersInHeads(received));
     }
 
+    // A caller that disconnects within a streamed body: the backend server must not take the part for the whole.
+    void brokenUploadIsNotRun()
+    {
+        const auto& all = deployment();
+        const std::string head = "POST /shop/orders/cut HTTP/1.1\r\nHost: t\r\nX-Api-Key: " + callerKey + "\r\n";
+        const std::string part(100'000, 'p');
+        for (const auto& body : { "Content-Length: 150000\r\n\r\n" + part,
+                 "Transfer-Encoding: chunked\r\n\r\n186a0\r\n" + part + "\r\n" }) {
+            exchangeBytes(all.settings.node.self.callerAddress, head + body, true);
+            while (all.daemon->openRequests() > 0)
+                std::this_thread::sleep_for(std::chrono::milliseconds { 5 });
+        }
+        CPPUNIT_ASSERT_EQUAL(0, all.backend.runs("/shop/orders/cut"));
+        CPPUNIT_ASSERT(all.get("/shop/items/after").find("done") != std::string::npos);
+    }
+
     void badKeysAreRefused()
     {
         const auto& all = deployment();
