--- a/daemons/peridotd/src/ForwardedRequest.cpp
+++ b/daemons/peridotd/src/ForwardedRequest.cpp
@@ -507,10 +507,8 @@
         isStreamed = m_stage == Stage::Streaming;
         m_mayHaveRun |= kind != DispatchOutcomeKind::Shed && kind != DispatchOutcomeKind::NotSent;
         isAbandoned = m_stage == Stage::Dispatched && kind == DispatchOutcomeKind::Cancelled;
-        if (isAbandoned)
-            m_stage = Stage::Answered;
-        else if (m_stage == Stage::Dispatched)
-            m_stage = Stage::Waiting;
+        if (m_stage == Stage::Dispatched)
+            m_stage = isAbandoned ? Stage::Answered : Stage::Waiting;
         else if (isStreamed)
             m_stage = Stage::Answered;
     }
