membership: let a relay tell its fellow of a changed foreign list

Cause: with digests once per second, the fellow of a relay that had pulled a changed list could learn it up to 1 s later from its own target; one of 60 deaths in fleets of 12 took 3.04 s to leave all views, above the bound of 3 s. Change: the next pull of the fellow names the versions of lists that have just changed, and the fellow pulls these domains at once.

--- a/libs/membership/include/membership/Messages.h
+++ b/libs/membership/include/membership/Messages.h
@@ -147,7 +147,7 @@
     ConfigurationVersion highestVersion = 0;
     bool isStoreReachable = false; // By a member of the sender's domain.
     // Of the receiver's domain, which the answer brings up to date, and of the sender's, so that the receiver knows
-    // when to pull.
+    // when to pull. For the fellow relay also of domains whose lists have just changed.
     std::vector<KnownView> known;
 };
 
--- a/libs/membership/include/membership/RelayAgent.h
+++ b/libs/membership/include/membership/RelayAgent.h
@@ -138,7 +138,8 @@
     std::map<FailureDomainId, Peer> m_peers;
     std::map<std::uint64_t, OpenPull> m_open;
     std::map<InstanceId, Lost> m_lost;
-    std::set<FailureDomainId> m_changed; // Other domains that have told of a new list.
+    std::set<FailureDomainId> m_changed; // Domains that are pulled with the next tick.
+    std::set<FailureDomainId> m_tellFellow; // Other domains whose lists have changed since the fellow was pulled.
     std::map<InstanceId, TimePoint> m_heardReachable; // Relays of other domains whose last pull said "reachable".
     std::uint64_t m_nextSequence = 1;
     TimePoint m_nextPulls;
--- a/libs/membership/src/RelayAgent.cpp
+++ b/libs/membership/src/RelayAgent.cpp
@@ -261,6 +261,12 @@
     if (id != m_self.failureDomain)
         message.known.push_back(m_view.known(id));
     message.known.push_back(m_view.known(m_self.failureDomain));
+    if (id == m_self.failureDomain && !isProbe) {
+        // The fellow relay may pull from another relay of that domain and would hear of the change later.
+        for (const auto& changed : m_tellFellow)
+            message.known.push_back(m_view.known(changed));
+        m_tellFellow.clear();
+    }
     m_peers[id].lastPull = now;
     m_open.emplace(message.sequence, OpenPull { id, now, m_highest, message.isStoreReachable, target.id, isProbe });
     sends.push_back({ target.id, target.peerAddress, std::move(message) });
@@ -385,7 +391,7 @@
     if (isFellow)
         meetFellow(message, address, now);
     for (const auto& item : message.known) {
-        if (item.failureDomain == message.failureDomain && !isFellow
+        if (item.failureDomain != m_self.failureDomain && m_view.findDomain(item.failureDomain)
             && item.version.contentHash != m_view.known(item.failureDomain).version.contentHash)
             m_changed.insert(item.failureDomain);
     }
@@ -488,10 +494,16 @@
             continue;
         peer.attestation = Attestation { summary.store.isReachable || message.isPeerReachable,
             pull.sent - withDrift(summary.store.age) };
-        if (isFellow)
+        if (isFellow) {
             meetMembersOf(summary, now);
-        else
-            m_view.apply(summary, now);
+            continue;
+        }
+        const auto before = m_view.known(pull.domain).version;
+        m_view.apply(summary, now);
+        if (m_view.known(pull.domain).version.contentHash != before.contentHash) {
+            m_tellFellow.insert(pull.domain);
+            m_changed.insert(m_self.failureDomain);
+        }
     }
 }
 
