--- a/peridot/src/ControlPlane.cpp
+++ b/peridot/src/ControlPlane.cpp
@@ -227,8 +227,8 @@
         auto waiting = m_answerTo.extract(outcome.id);
         actions.emplace_back(AnswerOperator { waiting.empty() ? outcome.id : waiting.mapped(), status, body.dump() });
     }
-    if (auto newest = m_writer.newest(); newest && newest->version() > m_membership.highestVersion())
-        m_membership.heard(newest->version());
+    if (m_writer.highestVersion() > m_membership.highestVersion())
+        m_membership.heard(m_writer.highestVersion());
     if (m_writer.newest() && m_reader.adopt(m_writer.newest()))
         adoptConfiguration(now, actions);
 }
