--- a/tools/peridot-capacity/src/Measurements.cpp
+++ b/tools/peridot-capacity/src/Measurements.cpp
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <ctime>
 #include <functional>
+#include <iterator>
 #include <limits>
 
 namespace peridot::capacity {
@@ -109,15 +110,18 @@
                 FailureDomainId("domain-00"), {}, "10.0.0.0:8080", "10.0.0.0:8081", 0, 0, PlatformInstanceState::Live };
             for (int i = 0; i < 400; ++i) {
                 now += std::chrono::milliseconds { 10 };
-                for (const auto& action : node.tick(now)) {
-                    if (const auto* call = std::get_if<StoreCall>(&action))
-                        answer(*call, body, self, now);
+                auto actions = node.tick(now);
+                for (std::size_t next = 0; next < actions.size(); ++next) {
+                    if (const auto* call = std::get_if<StoreCall>(&actions[next])) {
+                        auto further = answer(*call, body, self, now);
+                        std::move(further.begin(), further.end(), std::back_inserter(actions));
+                    }
                 }
             }
             readyAt = now;
         }
 
-        void answer(const StoreCall& call, const std::string& body, const PlatformInstance& self, TimePoint now)
+        Actions answer(const StoreCall& call, const std::string& body, const PlatformInstance& self, TimePoint now)
         {
             const TableRow head { "config/head",
                 R"({"version":1,"object":"config/1-capacity","change":"capacity","recent":[{"id":"capacity","version":1}]})",
@@ -129,7 +133,7 @@
                 result = ObjectValue { body };
             else if (const auto* read = std::get_if<TableRead>(&call.request); read && read->keys.front() == head.key)
                 result = TableRows { { head } };
-            node.storeCompleted(call.id, result, now);
+            return node.storeCompleted(call.id, result, now);
         }
 
         NullEventLog log;
@@ -185,16 +189,16 @@
         inputs.localRegion = RegionId(regionName(0));
         for (int i = 0; i < instances; ++i)
             inputs.instances.push_back(member(i, 8, 21));
-        series.points.push_back({ static_cast<double>(instances),
-            cost(50, [&](int) { LookupPlanner().build(inputs); }) });
+        series.points.push_back(
+            { static_cast<double>(instances), cost(50, [&](int) { LookupPlanner().build(inputs); }) });
     }
     return series;
 }
 
 Series measureLedger()
 {
-    Series series { "ledger_answer", "holders in the region", "processor time of answering a demand of 8 budgets, us", 188,
-        {} };
+    Series series { "ledger_answer", "holders in the region", "processor time of answering a demand of 8 budgets, us",
+        188, {} };
     for (const int holders : { 4, 16, 64, 128, 188 }) {
         NullEventLog log;
         RegionLedger ledger(RegionId("r"), log);
@@ -205,11 +209,12 @@
         std::uint64_t sequence = 0;
         auto now = start;
         series.points.push_back({ static_cast<double>(holders), cost(4'000, [&](int i) {
-            if (i % holders == 0)
-                ++sequence;
-            now += std::chrono::microseconds { 20'000 / holders };
-            ledger.answer(demandOf(InstanceId(fmt::format("holder-{}", i % holders)), sequence, 8), now);
-        }) });
+                                     if (i % holders == 0)
+                                         ++sequence;
+                                     now += std::chrono::microseconds { 20'000 / holders };
+                                     ledger.answer(
+                                         demandOf(InstanceId(fmt::format("holder-{}", i % holders)), sequence, 8), now);
+                                 }) });
     }
     return series;
 }
@@ -249,9 +254,9 @@
     for (const int workspaces : { 8, 100, 500, 1'000, 2'000 }) {
         const auto body = Configuration::create(configurationOf(workspaces))->toJson();
         series.points.push_back({ static_cast<double>(workspaces), cost(5, [&](int) {
-            if (!Configuration::parse(body, "capacity"))
-                throw std::logic_error("the configuration was refused");
-        }) });
+                                     if (!Configuration::parse(body, "capacity"))
+                                         throw std::logic_error("the configuration was refused");
+                                 }) });
     }
     return series;
 }
@@ -266,8 +271,7 @@
                 RegionId(regionName(i % 8)), FailureDomainId(fmt::format("domain-{:02}", i % 21)), ServiceId("salonik"),
                 fmt::format("10.1.{}.{}:8080", i / 250, i % 250), "", 8, 360, PlatformInstanceState::Live });
         }
-        series.points.push_back(
-            { static_cast<double>(servers), static_cast<double>(listBytes(list)) });
+        series.points.push_back({ static_cast<double>(servers), static_cast<double>(listBytes(list)) });
     }
     return series;
 }
@@ -279,9 +283,9 @@
         ReadyNode ready(settingsWithBlocks(blocks));
         auto now = ready.readyAt;
         series.points.push_back({ static_cast<double>(blocks), cost(200, [&](int) {
-            now += std::chrono::milliseconds { 10 };
-            ready.node.tick(now);
-        }) });
+                                     now += std::chrono::milliseconds { 10 };
+                                     ready.node.tick(now);
+                                 }) });
     }
     return series;
 }
--- a/tools/peridot-capacity/src/Report.cpp
+++ b/tools/peridot-capacity/src/Report.cpp
@@ -13,8 +13,8 @@
     for (const auto& [x, y] : series.points)
         text += fmt::format("measure={} x={:g} y={:.4g}\n", series.name, x, y);
     const auto fit = fitLine(series.points);
-    text += fmt::format(
-        "fit={} x=\"{}\" y=\"{}\" slope={:.4g} slope_error={:.2g} intercept={:.4g} r2={:.4f} target_x={:g} at_target={:.4g}\n",
+    text += fmt::format("fit={} x=\"{}\" y=\"{}\" slope={:.4g} slope_error={:.2g} intercept={:.4g} r2={:.4f} "
+                        "target_x={:g} at_target={:.4g}\n",
         series.name, series.xName, series.yName, fit.slope, fit.slopeError, fit.intercept, fit.determination,
         series.targetX, fit.at(series.targetX));
     return text;
