--- a/daemons/peridotd/src/ForwardedRequest.cpp
+++ b/daemons/peridotd/src/ForwardedRequest.cpp
@@ -190,7 +190,9 @@
 {
     if (!markAnswered())
         return;
-    send(m_request, makeRefusal(refusal, m_head.id));
+    auto response = makeRefusal(refusal, m_head.id);
+    closeIfLeaving(response);
+    send(m_request, response);
     logFinished(refusal.status, refusal.code, 0);
 }
 
@@ -409,9 +411,17 @@
     return true;
 }
 
+void ForwardedRequest::closeIfLeaving(http::http_response& response) const
+{
+    // Callers that keep their connection would lose a request to the end of the process.
+    if (m_context.driver.state() == InstanceState::Leaving)
+        response.headers()["Connection"] = "close";
+}
+
 http::http_response ForwardedRequest::callerResponse(const Attempt& attempt) const
 {
     auto response = makeResponse(attempt.response.status_code(), m_head.id);
+    closeIfLeaving(response);
     for (const auto& [name, value] : screenResponseHeaders(headerList(attempt.response.headers())))
         response.headers().add(name, value);
     return response;
@@ -488,6 +498,7 @@
 void ForwardedRequest::failed(const AttemptPointer& attempt, DispatchOutcomeKind kind, Duration retryAfter)
 {
     bool isStreamed = false;
+    bool isAbandoned = false;
     {
         const std::lock_guard lock(m_mutex);
         if (attempt->isOver)
@@ -495,8 +506,9 @@
         attempt->isOver = true;
         isStreamed = m_stage == Stage::Streaming;
         m_mayHaveRun |= kind != DispatchOutcomeKind::Shed && kind != DispatchOutcomeKind::NotSent;
+        isAbandoned = m_stage == Stage::Dispatched && kind == DispatchOutcomeKind::Cancelled;
         if (m_stage == Stage::Dispatched)
-            m_stage = Stage::Waiting;
+            m_stage = isAbandoned ? Stage::Answered : Stage::Waiting;
         else if (isStreamed)
             m_stage = Stage::Answered;
     }
@@ -505,6 +517,12 @@
         attempt->pipe->close(std::ios_base::out, std::make_exception_ptr(std::runtime_error("the response broke off")));
         logFinished(attempt->response.status_code(), std::string(enumName(kind)), attempt->receivedBytes);
     }
+    if (isAbandoned) {
+        // cpprestsdk releases a connection only after a reply, even if no one reads it.
+        const Refusal refusal { 400, "body_incomplete", "the body broke off", RunState::Unknown, {} };
+        sendLastRefusal(m_request, refusal, m_head.id);
+        logFinished(refusal.status, refusal.code, 0);
+    }
     m_context.driver.finished(m_head.id,
         DispatchOutcome { kind, steadyNow() - attempt->start, retryAfter, attempt->receivedBytes, isStreamed, {} });
 }
