--- a/tools/peridot-capacity/src/Report.cpp
+++ b/tools/peridot-capacity/src/Report.cpp
@@ -40,7 +40,7 @@
     std::string text = "set terminal svg size 640,400 font 'sans,12'\nset key left top\nset grid\n";
     for (const auto& series : all) {
         const auto fit = fitLine(series.points);
-        text += fmt::format("set output '{}/{}.svg'\nset xlabel '{}'\nset ylabel '{}'\n", directory, series.name,
+        text += fmt::format("set output \"{}/{}.svg\"\nset xlabel \"{}\"\nset ylabel \"{}\"\n", directory, series.name,
             series.xName, series.yName);
         text += fmt::format("plot [0:*] [0:*] '-' with points pt 7 title 'measured', {} + {} * x title 'fit'\n",
             fit.intercept, fit.slope);
