peridot: check key and contact again before a waiting request is dispatched

Change: the router asks the serving view again when a request is queued and when it is dispatched; a withdrawn key or lost contact refuses it as not run. Conclusion: a withdrawal holds for requests that were waiting, too.

--- a/peridot/src/ControlPlane.cpp
+++ b/peridot/src/ControlPlane.cpp
@@ -69,6 +69,17 @@
     return evidenceTime && now - *evidenceTime <= Evidence::s_freshFor;
 }
 
+std::optional<Refusal> ServingView::recheck(const AdmittedRequest& request, TimePoint now) const
+{
+    if (request.key.isEmpty())
+        return std::nullopt;
+    if (!isEvidenceFresh(now))
+        return makeRefusal(RefusalCode::NoContact, RunState::NotRun, std::chrono::seconds { 2 });
+    if (configuration->data().withdrawnKeys.contains(request.key))
+        return makeRefusal(RefusalCode::WithdrawnKey);
+    return std::nullopt;
+}
+
 ControlPlane::ControlPlane(const NodeSettings& settings, BudgetHolders& budgets, DecisionHistory& history,
     StoreCallTable& calls, EventLog& log)
     : m_settings(settings)
@@ -253,8 +264,10 @@
     std::erase_if(m_routers, [&](const auto& it) { return !configuration->hasService(it.first); });
     for (const auto& service : configuration->data().services) {
         if (!m_routers.contains(service)) {
-            m_routers[service] = std::make_shared<ServiceRouter>(
-                service, m_settings, m_budgets, m_history, seedOf(m_settings) + m_routers.size());
+            m_routers[service] = std::make_shared<ServiceRouter>(service, m_settings, m_budgets, m_history,
+                seedOf(m_settings) + m_routers.size(), [this](const AdmittedRequest& request, TimePoint at) {
+                    return m_published.load()->recheck(request, at);
+                });
         }
     }
     m_areRoutersStale = true;
--- a/peridot/src/ServiceRouter.cpp
+++ b/peridot/src/ServiceRouter.cpp
@@ -53,13 +53,14 @@
 }
 
 ServiceRouter::ServiceRouter(ServiceId service, const NodeSettings& settings, BudgetHolders& budgets,
-    DecisionHistory& history, std::uint64_t seed)
+    DecisionHistory& history, std::uint64_t seed, Recheck recheck)
     : m_service(std::move(service))
     , m_region(settings.self.region)
     , m_self(settings.self.id)
     , m_settings(settings)
     , m_budgets(budgets)
     , m_history(history)
+    , m_recheck(std::move(recheck))
     , m_random(seed)
     , m_meanDuration(static_cast<double>(initialMeanDuration.count()))
 {
@@ -136,6 +137,10 @@
     PERIDOT_ASSERT(isNew, "a request is routed once");
     auto& record = it->second;
     record.request = std::move(request);
+    if (const auto refusal = m_recheck(record.request, now)) {
+        refuse(record, *refusal, now, output);
+        return output;
+    }
     retryBudget(record.request.trafficClass.id).requestStarted(now);
     if (auto pushed = m_queue.push(now, makeQueued(record)); !pushed) {
         const auto& [reason, retryAfter] = pushed.error();
@@ -171,6 +176,11 @@
     auto it = m_requests.find(front->id);
     PERIDOT_ASSERT(it != m_requests.end() && !it->second.running, "a queued request is known and not running");
     auto& record = it->second;
+    if (const auto refusal = m_recheck(record.request, now)) {
+        m_queue.pop(now);
+        refuse(record, *refusal, now, output);
+        return true;
+    }
     auto choice = regionState(m_region).pool->choose(now, requestCost, record.excluded);
     if (choice) {
         m_queue.pop(now);
--- a/peridot/src/ServiceRouter.h
+++ b/peridot/src/ServiceRouter.h
@@ -12,6 +12,7 @@
 #include "routing/RetryBudget.h"
 #include "routing/SpillPolicy.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -36,7 +37,10 @@
  */
 class ServiceRouter {
 public:
-    ServiceRouter(ServiceId, const NodeSettings&, BudgetHolders&, DecisionHistory&, std::uint64_t seed);
+    /** Says why a request that waited must not be dispatched any more, if so. */
+    using Recheck = std::function<std::optional<Refusal>(const AdmittedRequest&, TimePoint now)>;
+
+    ServiceRouter(ServiceId, const NodeSettings&, BudgetHolders&, DecisionHistory&, std::uint64_t seed, Recheck);
 
     void setServers(const std::vector<RegionServers>&, TimePoint now);
     /** Load of the regions for this service, the own region included. */
@@ -102,6 +106,7 @@
     const NodeSettings& m_settings;
     BudgetHolders& m_budgets;
     DecisionHistory& m_history;
+    const Recheck m_recheck;
 
     mutable std::mutex m_mutex;
     std::mt19937_64 m_random;
--- a/peridot/src/ServingView.h
+++ b/peridot/src/ServingView.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "AdmittedRequest.h"
 #include "base/Time.h"
 #include "config/Configuration.h"
 #include "peridot/Node.h"
@@ -24,6 +25,11 @@
 
     /** Whether a key withdrawn more than the limit ago would be known. Checked with the time of each request. */
     bool isEvidenceFresh(TimePoint now) const noexcept;
+    /**
+     * Whether a request that was admitted earlier may still be dispatched: its key may have been withdrawn while it
+     * waited, or this instance may have lost contact. Empty if it may.
+     */
+    std::optional<Refusal> recheck(const AdmittedRequest&, TimePoint now) const;
 };
 
 }
--- a/peridot/tests/NodeTest.cpp
+++ b/peridot/tests/NodeTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(keepsWorkspaceWithinRateAndBurst);
     CPPUNIT_TEST(servesSteadyDemandInsideTheRate);
     CPPUNIT_TEST(withdrawnKeyIsRefusedEverywhere);
+    CPPUNIT_TEST(withdrawnKeyStopsWaitingRequests);
     CPPUNIT_TEST(isolatedInstanceRefusesKeyedRequests);
     CPPUNIT_TEST(goesOnWhileStoreIsDownForAll);
     CPPUNIT_TEST(neverRepeatsFailedNonIdempotentRequest);
@@ -150,6 +151,26 @@
         CPPUNIT_ASSERT_EQUAL(m_fleet->names().size(), m_fleet->closed.size());
     }
 
+    void withdrawnKeyStopsWaitingRequests()
+    {
+        start(1000, 500);
+        m_fleet->completesAtOnce = false;
+        // More than all slots of the service, so that some requests wait.
+        std::vector<RequestId> ids;
+        for (int i = 0; i < 120; ++i)
+            ids.push_back(m_fleet->request("a1", "GET", "/booking/search", SmallFleet::key("small")));
+        m_fleet->run(100ms);
+        const auto dispatched = m_fleet->dispatches;
+        CPPUNIT_ASSERT(dispatched.size() + m_fleet->refusals.size() < ids.size());
+        m_fleet->operate(
+            "b1", "change-1", "POST", "/changes", R"({"changes":[{"type":"withdraw_key","key":"small-key"}]})");
+        const auto before = m_fleet->dispatches.size();
+        for (const auto& [id, dispatch] : dispatched)
+            m_fleet->finish("a1", id, {});
+        m_fleet->run(1s);
+        CPPUNIT_ASSERT_EQUAL(before, m_fleet->dispatches.size());
+    }
+
     void isolatedInstanceRefusesKeyedRequests()
     {
         start();
