--- a/tools/peridot-load/main.cpp
+++ b/tools/peridot-load/main.cpp
@@ -5,13 +5,16 @@
 #include "base/EventLog.h"
 #include "program/CommandLine.h"
 
+#include <boost/lexical_cast.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iostream>
 #include <random>
+#include <sstream>
 
 using namespace peridot;
 
@@ -29,16 +32,41 @@
 }
 
 /** Applies --duration-ms. Returns an error message, or nothing. */
+std::string applyDuration(const std::string& text, LoadSettings& settings)
+{
+    std::uint32_t milliseconds = 0;
+    if (!boost::conversion::try_lexical_convert(text, milliseconds) || milliseconds == 0)
+        return "--duration-ms: found " + text + ", expected a number of milliseconds above 0";
+    settings.duration = std::chrono::milliseconds { milliseconds };
+    return "";
+}
+
+/** Applies --multiple, a list such as "a=10,b=0.5". Returns an error message, or nothing. */
+std::string applyMultiples(const std::string& text, LoadSettings& settings)
+{
+    std::istringstream list(text);
+    for (std::string item; std::getline(list, item, ',');) {
+        const auto equals = std::min(item.find('='), item.size());
+        const auto caller = std::find_if(settings.callers.begin(), settings.callers.end(),
+            [&](const CallerSettings& candidate) { return candidate.workspace == item.substr(0, equals); });
+        double multiple = 0;
+        if (caller == settings.callers.end() || equals == item.size()
+            || !boost::conversion::try_lexical_convert(item.substr(equals + 1), multiple)
+            || !(multiple > 0 && multiple <= 1000))
+            return "--multiple: found " + item + ", expected WORKSPACE=NUMBER with a workspace of the settings";
+        caller->multiple = multiple;
+    }
+    return "";
+}
+
 std::string applyOptions(const CommandLine& line, LoadSettings& settings)
 {
-    const auto duration = line.extra.find("duration-ms");
-    if (duration == line.extra.end())
-        return "";
-    try {
-        settings.duration = std::chrono::milliseconds { std::stoul(duration->second) };
-    } catch (const std::exception&) {
-        return "--duration-ms: found " + duration->second + ", expected a number of milliseconds";
+    if (const auto it = line.extra.find("duration-ms"); it != line.extra.end()) {
+        if (auto error = applyDuration(it->second, settings); !error.empty())
+            return error;
     }
+    if (const auto it = line.extra.find("multiple"); it != line.extra.end())
+        return applyMultiples(it->second, settings);
     return "";
 }
 
@@ -101,7 +129,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     const ProgramDescription program { "peridot-load", PERIDOT_VERSION, "callers of several workspaces" };
     const auto line = parseCommandLine(program, argc, argv,
-        { { "json", "file for the results as JSON" }, { "duration-ms", "time to send for, in milliseconds" } });
+        { { "json", "file for the results as JSON" }, { "duration-ms", "time to send for, in milliseconds" },
+            { "multiple", "multiples of the rates that differ from the settings, such as a=10,b=0.5" } });
     if (line.exitCode)
         return static_cast<int>(*line.exitCode);
     auto settings = readLoadSettings(line.settingsPath);
--- a/tools/program/include/program/HttpEndpoint.h
+++ b/tools/program/include/program/HttpEndpoint.h
@@ -45,7 +45,7 @@
     HttpEndpoint& operator=(const HttpEndpoint&) = delete;
 
     Result<void> open();
-    /** Waits for the replies to open requests. */
+    /** Waits until the replies to open requests are written, at most 5 s. */
     void close();
 
 private:
--- a/tools/program/src/HttpEndpoint.cpp
+++ b/tools/program/src/HttpEndpoint.cpp
@@ -7,6 +7,9 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
 #include <utility>
 
 namespace peridot {
@@ -17,6 +20,8 @@
     using Listener = http::experimental::listener::http_listener;
 
     constexpr std::uint64_t largestBody = 16U << 20U;
+    // A caller that does not read its reply must not keep a program from ending.
+    constexpr std::chrono::seconds longestClose { 5 };
 
     std::string lowerCase(std::string text)
     {
@@ -38,19 +43,50 @@
         return request;
     }
 
-    void sendReply(const http::http_request& message, HttpReply reply)
+    /** Requests whose reply has not been written yet. */
+    class OpenRequests {
+    public:
+        void add()
+        {
+            std::lock_guard lock(m_mutex);
+            ++m_count;
+        }
+
+        void remove()
+        {
+            std::lock_guard lock(m_mutex);
+            if (--m_count == 0)
+                m_none.notify_all();
+        }
+
+        bool waitForNone(std::chrono::milliseconds limit)
+        {
+            std::unique_lock lock(m_mutex);
+            return m_none.wait_for(lock, limit, [this] { return m_count == 0; });
+        }
+
+    private:
+        std::mutex m_mutex;
+        std::condition_variable m_none;
+        std::size_t m_count = 0;
+    };
+
+    using OpenRequestsPointer = std::shared_ptr<OpenRequests>;
+
+    void sendReply(const http::http_request& message, const OpenRequestsPointer& open, HttpReply reply)
     {
         http::http_response response(reply.status);
         response.set_body(std::move(reply.body), reply.contentType);
         for (const auto& [name, value] : reply.headers)
             response.headers().add(name, value);
-        message.reply(response).then([](const pplx::task<void>& task) {
+        message.reply(response).then([open](const pplx::task<void>& task) {
             try {
                 task.get();
             } catch (const std::exception& error) {
                 // The caller closed its connection. Nothing is left to do for it.
                 spdlog::debug("event=reply_not_sent message=\"{}\"", error.what());
             }
+            open->remove();
         });
     }
 
@@ -105,6 +141,9 @@
     {
         if (!m_listener)
             return;
+        // The listener's own close() cuts connections whose reply is being written.
+        if (!m_open->waitForNone(longestClose))
+            spdlog::warn("event=close_with_open_requests address={}", m_address);
         try {
             m_listener->close().wait();
         } catch (const std::exception& error) {
@@ -116,29 +155,44 @@
 private:
     void take(const http::http_request& message)
     {
+        m_open->add();
+        // A handler that fails after it has responded must not respond again.
+        const auto respond
+            = [message, open = m_open, isDone = std::make_shared<std::atomic<bool>>(false)](HttpReply reply) {
+                  if (!isDone->exchange(true))
+                      sendReply(message, open, std::move(reply));
+              };
         try {
-            if (message.headers().content_length() > largestBody) {
-                sendReply(message, httpError(413, "body_too_large", "the body is larger than 16 MiB"));
-                return;
-            }
+            if (message.headers().content_length() > largestBody)
+                return respond(httpError(413, "body_too_large", "the body is larger than 16 MiB"));
             auto request = std::make_shared<HttpRequest>(readHead(message));
-            message.extract_vector().then([this, message, request](const pplx::task<std::vector<unsigned char>>& task) {
+            message.extract_vector().then([this, respond, request](const pplx::task<std::vector<unsigned char>>& task) {
                 try {
                     const auto& bytes = task.get();
                     request->body.assign(bytes.begin(), bytes.end());
-                    m_handler(*request, [message](HttpReply reply) { sendReply(message, std::move(reply)); });
                 } catch (const std::exception& error) {
-                    sendReply(message, httpError(400, "invalid_argument", error.what()));
+                    return respond(httpError(400, "invalid_argument", error.what()));
                 }
+                handle(*request, respond);
             });
         } catch (const std::exception& error) {
             // Such as a path with a broken percent escape.
-            sendReply(message, httpError(400, "invalid_argument", error.what()));
+            respond(httpError(400, "invalid_argument", error.what()));
+        }
+    }
+
+    void handle(const HttpRequest& request, const Respond& respond)
+    {
+        try {
+            m_handler(request, respond);
+        } catch (const std::exception& error) {
+            respond(httpError(500, "internal", error.what()));
         }
     }
 
     const std::string m_address;
     const Handler m_handler;
+    const OpenRequestsPointer m_open = std::make_shared<OpenRequests>();
     std::unique_ptr<Listener> m_listener;
 };
 
--- a/tools/program/tests/check-programs.sh
+++ b/tools/program/tests/check-programs.sh
@@ -50,6 +50,10 @@
   expect 0 valid "$bin/peridot-load" --check-settings --settings "$file"
 done
 
+callers=$(ls "$deployments"/*/callers.json | head -1)
+expect 2 "--duration-ms: found x" "$bin/peridot-load" --settings "$callers" --duration-ms x
+expect 2 "--multiple: found nobody=2" "$bin/peridot-load" --settings "$callers" --multiple nobody=2
+
 # start PROGRAM: starts it with settings.json, whose ports @0@ and @1@ are replaced by free ones.
 start() {
   local port attempt
@@ -82,7 +86,7 @@
 
 echo '{ "deployment": "d", "listen": "127.0.0.1:@0@", "instances": [] }' >"$directory/settings.json"
 start peridot-platform
-curl -sf "$first/v1/statistics" >/dev/null || fail "the platform does not answer"
+curl -sSf "$first/v1/statistics" >"$directory/output" 2>&1 || fail "the platform does not answer: $(cat "$directory/output" "$directory/log")"
 # A request whose answer is withheld must not keep the program from ending.
 curl -s -X PUT "$first/v1/faults" -d '{"hang":true}' >/dev/null
 curl -s -m 0.2 -X POST "$first/v1/store" -d '{"type":"list_instances"}' >/dev/null || true
@@ -96,7 +100,7 @@
     "slots": 1, "maximum_connections": 10 } ] }
 END
 start peridot-backend
-curl -sf "$second/x" >/dev/null || fail "the backend server does not answer"
+curl -sSf "$second/x" >"$directory/output" 2>&1 || fail "the backend server does not answer: $(cat "$directory/output" "$directory/log")"
 kill -TERM "$started"
 expect_end 0
 
