daemon: tell backend servers the workspace of a request

Cause: a backend server could not know on whose behalf a request runs. Change: DispatchRequest names the workspace, sent as X-Workspace; a caller's own header of that name is removed.

--- a/daemons/peridotd/src/ForwardedRequest.cpp
+++ b/daemons/peridotd/src/ForwardedRequest.cpp
@@ -288,7 +288,7 @@
     m_context.driver.finished(m_head.id, DispatchOutcome { DispatchOutcomeKind::Cancelled, {}, {}, 0, false, {} });
 }
 
-http::http_request ForwardedRequest::backendRequest(Duration timeout)
+http::http_request ForwardedRequest::backendRequest(const DispatchRequest& dispatch)
 {
     http::http_request request(m_head.method);
     const std::string target = m_screened.query.empty() ? m_head.path : m_head.path + '?' + m_screened.query;
@@ -296,7 +296,9 @@
     for (const auto& [name, value] : m_screened.headers)
         request.headers().add(name, value);
     request.headers().add("X-Request-Id", m_head.id.value());
-    request.headers().add("Request-Timeout-Ms", std::max<std::int64_t>(toMilliseconds(timeout), 1));
+    request.headers().add("Request-Timeout-Ms", std::max<std::int64_t>(toMilliseconds(dispatch.timeout), 1));
+    if (!dispatch.workspace.isEmpty())
+        request.headers().add("X-Workspace", dispatch.workspace.value());
     const auto type = m_request.headers().content_type();
     if (m_bodyPipe && m_declaredBodyBytes)
         request.set_body(m_bodyPipe->create_istream(), *m_declaredBodyBytes, type);
@@ -314,7 +316,7 @@
         const bool needsFresh = dispatch.needsFreshConnection || m_bodyPipe;
         attempt->client
             = needsFresh ? m_context.clients.fresh(dispatch.address) : m_context.clients.pooled(dispatch.address);
-        attempt->client->request(backendRequest(dispatch.timeout), attempt->cancellation.get_token())
+        attempt->client->request(backendRequest(dispatch), attempt->cancellation.get_token())
             .then([self = shared_from_this(), attempt](const pplx::task<http::http_response>& task) {
                 try {
                     self->headArrived(attempt, task.get());
--- a/daemons/peridotd/src/ForwardedRequest.h
+++ b/daemons/peridotd/src/ForwardedRequest.h
@@ -79,7 +79,7 @@
     void refuseOversizeBody();
 
     void sendAttempt(const AttemptPointer&, const DispatchRequest&);
-    web::http::http_request backendRequest(Duration timeout);
+    web::http::http_request backendRequest(const DispatchRequest&);
     void headArrived(const AttemptPointer&, const web::http::http_response&);
     bool takeResponsePiece(const AttemptPointer&, const std::uint8_t* data, std::size_t size);
     void responseEnded(const AttemptPointer&, const std::exception_ptr&);
--- a/daemons/peridotd/src/HeaderScreening.cpp
+++ b/daemons/peridotd/src/HeaderScreening.cpp
@@ -13,7 +13,7 @@
         "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "host",
         "content-length", "expect" };
     // Written by this instance; a caller's or backend server's own value must not be mistaken for it.
-    constexpr std::array<std::string_view, 2> ownNames { "x-request-id", "request-timeout-ms" };
+    constexpr std::array<std::string_view, 3> ownNames { "x-request-id", "request-timeout-ms", "x-workspace" };
 
     std::string_view trimmed(std::string_view text)
     {
--- a/daemons/peridotd/tests/DaemonTest.cpp
+++ b/daemons/peridotd/tests/DaemonTest.cpp
@@ -182,11 +182,15 @@
     {
         const auto& all = deployment();
         const auto response = all.get("/shop/items/keys?key=" + callerKey + "&page=2",
-            "Authorization: Bearer " + callerKey + "\r\nCookie: k=" + callerKey + "\r\nAccept: text/plain\r\n");
+            "Authorization: Bearer " + callerKey + "\r\nCookie: k=" + callerKey
+                + "\r\nX-Workspace: forged\r\nAccept: text/plain\r\n");
         CPPUNIT_ASSERT_MESSAGE(response, response.find(" 200 ") != std::string::npos);
         const auto received = all.backend.received();
         CPPUNIT_ASSERT(received.find("/shop/items/keys?page=2") != std::string::npos);
         CPPUNIT_ASSERT(received.find("text/plain") != std::string::npos);
+        // The backend server is told the workspace of the key, not what the caller claims.
+        CPPUNIT_ASSERT(received.find("X-Workspace:korzo") != std::string::npos);
+        CPPUNIT_ASSERT(received.find("forged") == std::string::npos);
         CPPUNIT_ASSERT(received.find("a-secret") == std::string::npos);
         assertRefused(all.get("/shop/items/" + callerKey), "400", "key_in_path");
         CPPUNIT_ASSERT(all.backend.received().find("a-secret") == std::string::npos);
--- a/daemons/peridotd/tests/HeaderScreeningTest.cpp
+++ b/daemons/peridotd/tests/HeaderScreeningTest.cpp
@@ -41,7 +41,7 @@
     {
         const HeaderList headers { { "Connection", "close, X-Hop" }, { "x-hop", "1" }, { "Keep-Alive", "5" },
             { "Transfer-Encoding", "chunked" }, { "Content-Length", "5" }, { "Upgrade", "h2c" }, { "TE", "trailers" },
-            { "X-Request-Id", "forged" }, { "Request-Timeout-Ms", "1" }, { "ETag", "e" } };
+            { "X-Request-Id", "forged" }, { "Request-Timeout-Ms", "1" }, { "X-Workspace", "forged" }, { "ETag", "e" } };
         CPPUNIT_ASSERT(screenRequest(headers, "/s", "").headers == (HeaderList { { "ETag", "e" } }));
         CPPUNIT_ASSERT(screenResponseHeaders(headers) == (HeaderList { { "ETag", "e" } }));
     }
--- a/peridot/include/peridot/Actions.h
+++ b/peridot/include/peridot/Actions.h
@@ -30,6 +30,7 @@
 /** Sends a request, accepted earlier by Node::begin, to a backend server. */
 struct DispatchRequest {
     RequestId request;
+    WorkspaceId workspace; // On whose behalf it runs; empty on open routes.
     BackendServerId backendServer;
     std::string address;
     std::uint32_t attempt = 1;
--- a/peridot/src/ServiceRouter.cpp
+++ b/peridot/src/ServiceRouter.cpp
@@ -249,6 +249,7 @@
 
     DispatchRequest dispatch;
     dispatch.request = request.head.id;
+    dispatch.workspace = request.workspace;
     dispatch.backendServer = choice.server;
     dispatch.address = choice.address;
     dispatch.attempt = record.attempt;
--- a/peridot/tests/NodeTest.cpp
+++ b/peridot/tests/NodeTest.cpp
@@ -156,8 +156,10 @@
         start(1000, 500);
         m_fleet->completesAtOnce = false;
         // More than all slots of the service, so that some requests wait.
+        constexpr int requests = 120;
         std::vector<RequestId> ids;
-        for (int i = 0; i < 120; ++i)
+        ids.reserve(requests);
+        for (int i = 0; i < requests; ++i)
             ids.push_back(m_fleet->request("a1", "GET", "/booking/search", SmallFleet::key("small")));
         m_fleet->run(100ms);
         const auto dispatched = m_fleet->dispatches;
--- a/tests/golden/GoldenSessionTest.cpp
+++ b/tests/golden/GoldenSessionTest.cpp
@@ -60,7 +60,7 @@
 
 class Session {
 public:
-    Session(FleetPlan plan, SessionNames names)
+    Session(const FleetPlan& plan, SessionNames names)
         : m_names(std::move(names))
         , m_fleet(plan)
         , m_regions(plan.regions)
