--- a/peridot/src/RequestAdmission.h
+++ b/peridot/src/RequestAdmission.h
@@ -20,7 +20,10 @@
 
 namespace peridot {
 
-/** Thread-safe: claims have one lock, waiters another; held units are sharded. Locks are never nested. */
+/**
+ * Thread-safe: claims have one lock, waiters another; held units are sharded. Inside the lock of the claims only the
+ * call table's is taken, inside that of the waiters only those of held units.
+ */
 class RequestAdmission {
 public:
     RequestAdmission(const NodeSettings&, BudgetHolders&, DecisionHistory&, StoreCallTable&);
--- a/peridot/src/ServiceRouter.h
+++ b/peridot/src/ServiceRouter.h
@@ -31,7 +31,8 @@
 };
 
 /**
- * Thread-safe; one lock for all state of the service.
+ * Thread-safe; one lock for all state of the service. Inside it only those of held units, of the decision history and
+ * of the published view are taken, none of which takes another.
  *
  * Invariant: a request is known from enqueue() to its end, and is either queued or running, never both.
  */
