--- a/tools/peridot-trial/src/BaselineInstance.cpp
+++ b/tools/peridot-trial/src/BaselineInstance.cpp
@@ -298,8 +298,8 @@
     ++request.attempts;
     ++server->inFlight;
     request.server = server->listed.name;
-    return { DispatchRequest { id, BackendServerId { server->listed.name }, server->listed.address, request.attempts,
-        request.deadline - now, !shape.isIdempotent } };
+    return { DispatchRequest { id, {}, BackendServerId { server->listed.name }, server->listed.address,
+        request.attempts, request.deadline - now, !shape.isIdempotent } };
 }
 
 Actions BaselineInstance::finished(const RequestId& id, const DispatchOutcome& outcome, TimePoint now)
