peridot: remove accessors that nothing calls

Cause: reading the change once more showed ServiceRouter::localSlots and ControlPlane::highestHeard without a caller. Change: both are removed; behaviour is the same. The linter and the other targets were not run again. Conclusion: none.

--- a/peridot/src/ControlPlane.h
+++ b/peridot/src/ControlPlane.h
@@ -46,7 +46,6 @@
     const Published<ServingView>& view() const noexcept { return m_published; }
     const Membership& membership() const noexcept { return m_membership; }
     RegionLedgerHost& ledger() noexcept { return m_ledger; }
-    ConfigurationVersion highestHeard() const noexcept { return m_reader.highestHeard(); }
     std::string ledgerHolder(const RegionId&) const;
 
 private:
--- a/peridot/src/ServiceRouter.cpp
+++ b/peridot/src/ServiceRouter.cpp
@@ -440,8 +440,6 @@
         static_cast<std::uint32_t>(m_queue.length()) };
 }
 
-std::uint32_t ServiceRouter::localSlots(TimePoint now) const { return load(now).slots; }
-
 Duration ServiceRouter::meanDuration() const
 {
     std::lock_guard lock(m_mutex);
--- a/peridot/src/ServiceRouter.h
+++ b/peridot/src/ServiceRouter.h
@@ -55,8 +55,6 @@
     void probeCompleted(const BackendServerId&, const ProbeResult&, TimePoint now);
 
     ServiceLoad load(TimePoint now) const;
-    /** Slots of the service's usable servers in the own region. */
-    std::uint32_t localSlots(TimePoint now) const;
     /** Mean time that a request takes at a backend server. */
     Duration meanDuration() const;
     bool isIdle() const;
