http, platform: an exchange ends exactly once, and endless bytes end it

Cause: PlatformStore guarded each call by a timer that the response's handler owned. After a pause both were due; the response ran first and gave the connection back, a second call took it, and the first call's timer then closed it with the second call, whose handler was dropped. Now the connection itself ends an exchange at its timeout, and the timer names the exchange that it guards.

Bytes without end: a chunk extension or a trailer grew the buffer without limit on both sides, and skipped or informational responses could follow one another for ever. Both end the exchange now, and a response body may have 8 MiB instead of 32. Tests: ClientConnectionTest::bytesWithoutEndAreCutOff.

A late second copy of a rejection without an id, on a connection in use again, counted as the rejection of the next request, which may run: it was sent elsewhere. On a reused connection such a response now ends the exchange as broken.

steadyNow() uses CLOCK_BOOTTIME, so that deadlines, leases and idle times also run while a machine is suspended.

--- a/libs/entry/include/entry/CallerProtocol.h
+++ b/libs/entry/include/entry/CallerProtocol.h
@@ -28,8 +28,9 @@
     virtual tl::expected<CallerRequest, HttpResponse> read(const HttpRequest&) const = 0;
     /** Returns the request to send to the chosen server. It must not contain the caller's key. */
     virtual HttpRequest requestToServer(const HttpRequest&, const SendToServer&) const = 0;
-    /** Decides whether a response that was read from the connection belongs to the request with this id. */
-    virtual ResponseVerdict check(const HttpResponse&, const std::string& requestId) const = 0;
+    /** Decides whether a response that was read from the connection belongs to the request with this id. On a reused
+     *  connection, a late copy of an earlier response may arrive first. */
+    virtual ResponseVerdict check(const HttpResponse&, const std::string& requestId, bool isConnectionReused) const = 0;
     /** Derives the result of a send, and the server's load, from an accepted response. */
     virtual ServerResponseInfo inspectResponse(const HttpResponse&) const = 0;
     /** Converts the server's response to the response for the caller. */
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -104,7 +104,8 @@
     request.connection = connection;
     connection->send(
         m_protocol.requestToServer(request.exchange->request, send),
-        [this, id = request.id](const HttpResponse& response) { return m_protocol.check(response, id); },
+        [this, id = request.id, &connection = *connection](
+            const HttpResponse& response) { return m_protocol.check(response, id, connection.isReused()); },
         [this, handle = send.request, connection](
             ExchangeResult result) { sendFinished(handle, connection, std::move(result)); });
 }
--- a/libs/entry/tests/GatewayTest.cpp
+++ b/libs/entry/tests/GatewayTest.cpp
@@ -28,7 +28,10 @@
         return CallerRequest { path, "a", path, {}, path, Duration { 800ms } };
     }
     HttpRequest requestToServer(const HttpRequest& request, const SendToServer&) const override { return request; }
-    ResponseVerdict check(const HttpResponse&, const std::string&) const override { return ResponseVerdict::Accept; }
+    ResponseVerdict check(const HttpResponse&, const std::string&, bool) const override
+    {
+        return ResponseVerdict::Accept;
+    }
     ServerResponseInfo inspectResponse(const HttpResponse& response) const override
     {
         return { response.result_int() == 503 ? DispatchResult::Shed : DispatchResult::Succeeded, {} };
--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "base/SteadyTime.h"
 #include "base/Time.h"
 #include "http/MessageHeaders.h"
 
@@ -28,7 +29,8 @@
     // The kernel gives up a connection whose peer acknowledges nothing for this long. It is the only sign of a
     // connection that went silent.
     Duration acknowledgeTimeout = std::chrono::seconds { 2 };
-    std::uint64_t responseBytes = 33'554'432;
+    // Maximum size of a response body. It bounds the memory that a server which never stops sending can take.
+    std::uint64_t responseBytes = 8'388'608;
 };
 
 struct ExchangeError {
@@ -50,7 +52,7 @@
 /** Not thread-safe: all calls come from the thread of the io_context. */
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
 public:
-    using Clock = std::chrono::steady_clock;
+    using Clock = SuspendAwareClock;
     using ResponseCheck = std::function<ResponseVerdict(const HttpResponse&)>;
     using ResultHandler = std::function<void(ExchangeResult)>;
     /** Told when a request has ended and the connection can take another one, and when it has closed. */
@@ -59,13 +61,17 @@
     ClientConnection(boost::asio::io_context&, boost::asio::ip::tcp::endpoint, ClientConnectionOptions,
         StateHandler onIdle, StateHandler onClosed);
 
-    /** Sends the request once the connection is open. The handler is called exactly once unless close() comes first. */
-    void send(HttpRequest, ResponseCheck, ResultHandler);
+    /** Sends the request once the connection is open. The handler is called exactly once unless close() comes first.
+     *  If no response has arrived after @p timeout, the exchange fails and the connection closes. */
+    void send(HttpRequest, ResponseCheck, ResultHandler, std::optional<Duration> timeout = std::nullopt);
     /** Closes without calling the result handler; a running request is thereby cancelled. */
     void close();
 
     bool isOpen() const noexcept { return m_state == State::Open; }
     bool isBusy() const noexcept { return static_cast<bool>(m_onResult); }
+    /** Whether a request was sent on this connection before the current one, so that a response to it may still
+     *  arrive. */
+    bool isReused() const noexcept { return m_requests > 1; }
     Clock::time_point idleSince() const noexcept { return m_idleSince; }
     /** Time that connecting took; empty before, and after the first call. */
     std::optional<Duration> takeConnectTime() noexcept { return std::exchange(m_connectTime, std::nullopt); }
@@ -89,8 +95,10 @@
     void onRead(const boost::system::error_code&, std::size_t bytes);
     void parse(bool isAtEnd);
     void takeResponse();
+    void skipResponse();
     void fail(const std::string& message, bool isMalformed = false);
     void finish(ExchangeResult);
+    void startResponseTimer(Duration timeout);
     void resetParser();
 
     boost::asio::io_context& m_context;
@@ -100,6 +108,7 @@
     StateHandler m_onClosed;
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_connectTimer;
+    boost::asio::steady_timer m_responseTimer;
     State m_state = State::New;
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<Parser> m_parser; // Set exactly while a response is awaited.
@@ -112,7 +121,11 @@
     Clock::time_point m_connectStart;
     std::optional<Duration> m_connectTime;
     Duration m_idleBefore { 0 };
-    std::uint64_t m_requests = 0;
+    std::uint64_t m_requests = 0; // Requests written to the connection.
+    // Identifies the newest exchange. A timer that is due together with the response may run after the next exchange
+    // has begun, which it must not end.
+    std::uint64_t m_exchange = 0;
+    unsigned m_skippedResponses = 0; // Responses of the current exchange that answered other requests.
     bool m_wasSent = false;
     bool m_isWriting = false;
     bool m_isRetired = false; // Takes no further request, because stray bytes may follow.
--- a/libs/http/include/http/ServerConnection.h
+++ b/libs/http/include/http/ServerConnection.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "base/SteadyTime.h"
 #include "base/Time.h"
 #include "http/MessageHeaders.h"
 
@@ -55,7 +56,7 @@
 /** Not thread-safe: all calls come from the thread of the socket's executor. */
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
-    using Clock = std::chrono::steady_clock;
+    using Clock = SuspendAwareClock;
     using RequestHandler = std::function<void(const std::shared_ptr<HttpExchange>&)>;
     using ClosedHandler = std::function<void(ServerConnection&)>;
 
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -17,6 +17,11 @@
 
     constexpr std::size_t readSize = 16'384;
     constexpr std::uint32_t responseHeaderBytes = 32'768; // Twice what callers may send by default.
+    // Bytes that the parser leaves in the buffer are the start of a header, a chunk header or a trailer. The parser
+    // limits the size of headers only.
+    constexpr std::size_t unparsedBytes = 2 * responseHeaderBytes;
+    // A server that sends more responses to other requests, or more informational ones, is faulty.
+    constexpr unsigned maximumSkippedResponses = 16;
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
     bool isInformational(const HttpResponse& response) { return response.result_int() / 100 == 1; }
@@ -32,16 +37,22 @@
     , m_onClosed(std::move(onClosed))
     , m_socket(context)
     , m_connectTimer(context)
+    , m_responseTimer(context)
     , m_idleSince(Clock::now())
 {
 }
 
-void ClientConnection::send(HttpRequest request, ResponseCheck check, ResultHandler onResult)
+void ClientConnection::send(
+    HttpRequest request, ResponseCheck check, ResultHandler onResult, std::optional<Duration> timeout)
 {
     m_request = std::move(request);
     m_check = std::move(check);
     m_onResult = std::move(onResult);
     m_wasSent = false;
+    m_skippedResponses = 0;
+    ++m_exchange;
+    if (timeout)
+        startResponseTimer(*timeout);
     m_idleBefore = std::chrono::duration_cast<Duration>(Clock::now() - m_idleSince);
     resetParser();
     if (m_state == State::New)
@@ -52,6 +63,15 @@
         asio::post(m_context, [self = shared_from_this()] { self->fail("the connection is closed"); });
 }
 
+void ClientConnection::startResponseTimer(Duration timeout)
+{
+    m_responseTimer.expires_after(timeout);
+    m_responseTimer.async_wait([self = shared_from_this(), exchange = m_exchange](const error_code& ec) {
+        if (!ec && self->m_onResult && self->m_exchange == exchange)
+            self->fail("no response before the timeout");
+    });
+}
+
 void ClientConnection::resetParser()
 {
     m_parser = std::make_unique<Parser>();
@@ -164,8 +184,11 @@
             fail("malformed response: " + ec.message(), true);
             return;
         }
-        if (!m_parser->is_done())
+        if (!m_parser->is_done()) {
+            if (m_buffer.size() > unparsedBytes)
+                fail("malformed response: a header or chunk header without an end", true);
             return;
+        }
         takeResponse();
     }
 }
@@ -175,13 +198,13 @@
     const bool keepsOpen = m_parser->keep_alive();
     HttpResponse response = m_parser->release();
     if (isInformational(response)) {
-        resetParser();
+        skipResponse();
         return;
     }
     switch (m_check ? m_check(response) : ResponseVerdict::Accept) {
     case ResponseVerdict::Skip:
         m_isRetired = true;
-        resetParser();
+        skipResponse();
         return;
     case ResponseVerdict::Reject:
         fail("the response does not belong to the request", true);
@@ -197,12 +220,21 @@
     finish(std::move(response));
 }
 
+void ClientConnection::skipResponse()
+{
+    if (++m_skippedResponses > maximumSkippedResponses)
+        fail("too many responses that do not belong to the request", true);
+    else
+        resetParser();
+}
+
 void ClientConnection::finish(ExchangeResult result)
 {
     const auto self = shared_from_this();
     const auto onResult = std::exchange(m_onResult, nullptr);
     m_check = nullptr;
     m_parser.reset();
+    m_responseTimer.cancel();
     m_idleSince = Clock::now();
     if (m_isRetired)
         close();
@@ -226,6 +258,7 @@
     m_state = State::Closed;
     m_onResult = nullptr;
     m_connectTimer.cancel();
+    m_responseTimer.cancel();
     error_code ec;
     m_socket.close(ec); // The descriptor is released whatever the result.
     if (m_onClosed)
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -128,7 +128,8 @@
             noteExpectation();
         }
         if (ec == http::error::need_more) {
-            if (!m_isHeaderRead && m_buffer.size() > m_limits.headerBytes)
+            // What the parser leaves is the start of a header, a chunk header or a trailer. It limits headers only.
+            if (m_buffer.size() > m_limits.headerBytes)
                 rejectInput(http::status::request_header_fields_too_large);
             return true;
         }
--- a/libs/http/tests/ClientConnectionTest.cpp
+++ b/libs/http/tests/ClientConnectionTest.cpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace peridot;
@@ -95,6 +96,10 @@
     CPPUNIT_TEST(cancelledRequestClosesTheConnection);
     CPPUNIT_TEST(headAndInformationalResponses);
     CPPUNIT_TEST(keepAliveTimeIsRead);
+    CPPUNIT_TEST(secondCopyOfAResponseDoesNotAnswerTheNextRequest);
+    CPPUNIT_TEST(bytesWithoutEndAreCutOff);
+    CPPUNIT_TEST(silentServerEndsTheExchangeOnce);
+    CPPUNIT_TEST(timeoutThatIsDueWithTheResponseSparesTheNextRequest);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -171,6 +176,91 @@
         CPPUNIT_ASSERT_EQUAL(1, loopback.closed);
     }
 
+    /** A second copy that arrives while the connection is in use again must not become the next caller's answer. */
+    void secondCopyOfAResponseDoesNotAnswerTheNextRequest()
+    {
+        const std::string first = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nnot";
+        Loopback loopback;
+        loopback.request("/");
+        loopback.answer("HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 5\r\n\r\nfirst");
+        loopback.request("/");
+        loopback.answer(first);
+        CPPUNIT_ASSERT(!loopback.result);
+        loopback.answer("HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nmine");
+        CPPUNIT_ASSERT(loopback.result && *loopback.result);
+        CPPUNIT_ASSERT_EQUAL(std::string("mine"), (*loopback.result)->body());
+        CPPUNIT_ASSERT_EQUAL(1, loopback.closed);
+    }
+
+    /** A server in trouble may send bytes that are no response until the connection closes. Each exchange must fail
+     *  with bounded memory; without a limit, one such server could use up the memory of the instance. */
+    void bytesWithoutEndAreCutOff()
+    {
+        const std::string kilobyte(1'024, 'x');
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Id: mine\r\n";
+        for (const std::string& begin : { std::string(), std::string("HTTP/1.1 200 "), head + "X-Long: ", head,
+                 head + "Content-Length: 1000000000000\r\n\r\n", head + "\r\n",
+                 head + "Transfer-Encoding: chunked\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\n4;",
+                 head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: " }) {
+            Loopback loopback;
+            loopback.request("/");
+            loopback.answer(begin);
+            error_code ec;
+            std::size_t sent = 0;
+            while (!loopback.result && sent < 16'384 && !ec) {
+                loopback.peer.write_some(asio::buffer(kilobyte), ec);
+                loopback.run(1ms);
+                ++sent;
+            }
+            CPPUNIT_ASSERT(loopback.result && !*loopback.result);
+            CPPUNIT_ASSERT(loopback.result->error().isMalformed);
+            CPPUNIT_ASSERT_EQUAL(1, loopback.closed);
+        }
+        // Responses that belong to no request, without end.
+        for (const std::string bytes :
+            { "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n" }) {
+            Loopback loopback;
+            loopback.request("/");
+            for (int i = 0; i < 100 && !loopback.result; ++i)
+                loopback.answer(bytes);
+            CPPUNIT_ASSERT(loopback.result && !*loopback.result);
+            CPPUNIT_ASSERT_EQUAL(1, loopback.closed);
+        }
+    }
+
+    void silentServerEndsTheExchangeOnce()
+    {
+        Loopback loopback;
+        int results = 0;
+        loopback.connection->send(
+            HttpRequest(http::verb::get, "/", 11), nullptr, [&](const ExchangeResult&) { ++results; }, 50ms);
+        loopback.run(200ms);
+        CPPUNIT_ASSERT_EQUAL(1, results);
+        CPPUNIT_ASSERT_EQUAL(1, loopback.closed);
+    }
+
+    /** After a pause of the process, the response and its timeout are due at the same time. The timeout of the answered
+     *  request must not end the next request on the connection. */
+    void timeoutThatIsDueWithTheResponseSparesTheNextRequest()
+    {
+        Loopback loopback;
+        const auto send = [&](const std::string& path, Duration timeout, ClientConnection::ResultHandler handler) {
+            loopback.connection->send(HttpRequest(http::verb::get, path, 11), nullptr, std::move(handler), timeout);
+        };
+        std::optional<ExchangeResult> second;
+        send("/1", 100ms,
+            [&](const ExchangeResult&) { send("/2", 1s, [&](ExchangeResult it) { second = std::move(it); }); });
+        loopback.run(20ms);
+        loopback.acceptor.accept(loopback.peer);
+        asio::write(loopback.peer, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+        std::this_thread::sleep_for(150ms);
+        loopback.run();
+        CPPUNIT_ASSERT(!second);
+        CPPUNIT_ASSERT_EQUAL(0, loopback.closed);
+        loopback.answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        CPPUNIT_ASSERT(second && *second);
+    }
+
     void malformedResponsesAreToldApart()
     {
         for (const std::string bytes :
--- a/tools/program/include/program/Clocks.h
+++ b/tools/program/include/program/Clocks.h
@@ -2,16 +2,14 @@
 
 #pragma once
 
+#include "base/SteadyTime.h"
 #include "base/Time.h"
 
 #include <chrono>
 
 namespace peridot {
 
-inline TimePoint monotonicTime()
-{
-    return TimePoint { std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()) };
-}
+inline TimePoint monotonicTime() { return steadyNow(); }
 
 inline std::int64_t unixMilliseconds()
 {
