entry: a table follower can't stall, and asks the next reader first

Each operation of a follower (call, pull, pause) has a deadline; checkProgress() abandons one that is overdue, logs what it waited for, and begins anew.

A reader that knows nothing stayed first in the order, and each follower fell back to the store every 300 ms. Now the next reader is asked at once, and a reader is left alone for up to 1.2 s. After a failed attempt the next one asks for a response without a wait, so that a change is late by one call less. The test harness restarts its io_context, which stopped when no call was in flight.

--- a/libs/entry/include/entry/TableFollower.h
+++ b/libs/entry/include/entry/TableFollower.h
@@ -11,6 +11,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <random>
@@ -33,6 +35,8 @@
     // Time between two searches for a reader, while this instance may not call the store after a failure and can pull
     // from no reader.
     Duration readerPullInterval = std::chrono::milliseconds { 300 };
+    // Time beyond its own limit after which an operation counts as lost. It covers the time limit of a store call.
+    Duration operationOverdueMargin = std::chrono::milliseconds { 1'500 };
 };
 
 /** Not thread-safe. */
@@ -57,13 +61,36 @@
     TableFollower& operator=(const TableFollower&) = delete;
 
     void start();
+    const std::string& table() const noexcept { return m_options.table; }
+    /** Abandons an operation that is overdue, for example because its result was lost or the process was suspended, and
+     *  begins anew. Has to be called several times per second. */
+    void checkProgress(TimePoint now);
+    /** Abandons an operation that began before @p since, because its result would not show the state of the table after
+     *  that time, and asks for a response without a wait. */
+    void confirmSince(TimePoint since);
     /** Whether a read of the table, from the store or a peer, has succeeded since the last failed call of the store. */
     bool isReached() const noexcept { return m_isReached; }
     /** Start time of the newest successful read of the store, by this instance or by the peer that it pulled from. The
      *  received rows are at least as new as this time. */
     TimePoint asOf() const noexcept { return m_asOf; }
+    /** Start time of the newest attempt to confirm the rows that has ended, whether it succeeded or the store and the
+     *  readers could not be reached. A process that was paused has a confirmation that is older than the pause. */
+    TimePoint lastAttempt() const noexcept { return m_lastAttempt; }
+    /** Number of operations that checkProgress() has abandoned. */
+    std::uint64_t abandonedOperations() const noexcept { return m_abandonedOperations; }
 
 private:
+    /** Identifies an operation: a call of the store, a pull or a wait. A follower has one at any time after start(),
+     * and ignores the result of each earlier one. */
+    using OperationId = std::uint64_t;
+
+    OperationId beginOperation(const char* name, Duration limit);
+    /** How long the store or a peer may delay the next response. */
+    Duration wait() const noexcept { return m_needsConfirmation ? Duration { 0 } : m_options.wait; }
+    void confirm();
+    bool isCurrent(OperationId id) const noexcept { return id == m_operation; }
+    /** The attempt to confirm the rows that began with the current operation has ended. */
+    void attemptEnded() { m_lastAttempt = std::max(m_lastAttempt, m_operationStart); }
     void readSnapshot(const std::string& firstKey);
     void pullOrReadChanges();
     void readUnlessBackingOff();
@@ -84,10 +111,19 @@
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_overdueTimer; // Runs while a call for changes of the table is in flight.
     std::mt19937_64 m_random { std::random_device {}() };
+    OperationId m_operation = 0;
+    const char* m_operationName = "";
+    TimePoint m_operationStart {};
+    TimePoint m_operationDeadline {};
+    TimePoint m_lastAttempt {};
+    std::uint64_t m_abandonedOperations = 0;
+    bool m_hasSnapshot = false;
+    // The store is to respond at once, because the last attempt to confirm the rows failed.
+    bool m_needsConfirmation = false;
     std::vector<StoreRow> m_snapshotRows; // Rows received so far while a snapshot is read in several parts.
+    TimePoint m_snapshotStart {}; // Start time of the read of its first part.
     std::uint64_t m_version = 0;
     Duration m_retryDelay { 0 };
-    TimePoint m_callStart {};
     TimePoint m_asOf {};
     bool m_isReached = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/libs/entry/include/entry/TableRelay.h
+++ b/libs/entry/include/entry/TableRelay.h
@@ -8,6 +8,8 @@
 #include "base/Time.h"
 #include "store/TableFeed.h"
 
+#include <tl/expected.hpp>
+
 #include <functional>
 #include <map>
 #include <optional>
@@ -29,8 +31,13 @@
     // A reader that did not respond in time is not used for this long. Membership removes a failed reader sooner.
     Duration unresponsiveReaderBackoff = std::chrono::seconds { 3 };
     // A reader that responded that it cannot provide the changes, because it lost contact with the store or its history
-    // is too short, is not used for this long. It may be able to respond again at any moment.
+    // is too short, is not used for this long. It may be able to respond again at any moment. Each further such
+    // response doubles the time, up to the maximum.
     Duration unknownChangesBackoff = std::chrono::milliseconds { 300 };
+    Duration maximumUnknownChangesBackoff = std::chrono::milliseconds { 1'200 };
+    // Time for which a pull is held until the store has responded to this instance for the first time, whatever the
+    // wait of the pull. Below answerMargin.
+    Duration firstResponseWait = std::chrono::milliseconds { 250 };
     // Maximum number of changed rows that are kept per table to answer pulls, one for each key. A peer whose version is
     // older than these rows reads the store itself. The limit exceeds the number of backend servers in the largest
     // intended deployment: 1,500 instances with about 10 each. A row takes about 250 bytes.
@@ -40,6 +47,11 @@
     Duration failedStoreBackoff = std::chrono::seconds { 3 };
 };
 
+enum class PullFailure {
+    NotKnown, // The reader responded that it cannot provide the changes.
+    Silent, // The reader did not respond in time.
+};
+
 /**
  * Not thread-safe. All instances of a region rank the readers in the same order. The first reader that is not skipped
  * reads the store. The others pull from it, and read the store themselves when it does not respond in time or has lost
@@ -62,7 +74,8 @@
         StoreRows rows;
         TimePoint asOf; // Start time of the read of the store that confirmed the rows.
     };
-    using PullHandler = std::function<void(std::optional<Changes>)>;
+    using PullResult = tl::expected<Changes, PullFailure>;
+    using PullHandler = std::function<void(PullResult)>;
 
     TableRelay(InstanceId self, TableRelayOptions, Ports, EventLog&);
 
@@ -81,7 +94,7 @@
         m_nextDirectRead = now + m_options.failedStoreBackoff + jitter;
     }
     /** Asks the reader for the changes after @p version. May be called only if canPull() is true. Calls the handler
-     *  exactly once, with std::nullopt if this instance has to read the store instead. */
+     *  exactly once. After a failure, the reader is skipped for a while. */
     void pull(const std::string& table, std::uint64_t version, Duration wait, TimePoint now, PullHandler);
 
     /** Has to be called when this instance asks the store for the changes after version @p since. From now on pulls of
@@ -116,6 +129,7 @@
         std::string address;
         TablePull pull;
         TimePoint received;
+        TimePoint deadline; // Time at which the pull is answered if nothing has changed.
     };
 
     struct ChangedRow {
@@ -151,6 +165,8 @@
     // By table name, the reader that this instance's version comes from. No entry if it was read from the store.
     std::map<std::string, InstanceId> m_versionSources;
     std::map<InstanceId, TimePoint> m_skippedUntil; // The time until which each skipped reader is not used.
+    // Last backoff of each reader that has not provided changes since it responded that it does not know them.
+    std::map<InstanceId, Duration> m_unknownChangesBackoffs;
     // Time from which this instance may read the store although it is not a reader. Set while its last read of any
     // table has failed.
     std::optional<TimePoint> m_nextDirectRead;
--- a/libs/entry/src/TableFollower.cpp
+++ b/libs/entry/src/TableFollower.cpp
@@ -23,23 +23,68 @@
 
 void TableFollower::start() { readSnapshot({}); }
 
+TableFollower::OperationId TableFollower::beginOperation(const char* name, Duration limit)
+{
+    m_operationName = name;
+    m_operationStart = steadyNow();
+    m_operationDeadline = m_operationStart + limit + m_options.operationOverdueMargin;
+    return ++m_operation;
+}
+
+void TableFollower::checkProgress(TimePoint now)
+{
+    if (m_operation == 0 || now <= m_operationDeadline)
+        return;
+    ++m_abandonedOperations;
+    m_log.write(LogLevel::Warning,
+        LogLine("table_update_overdue")
+            .add("table", m_options.table)
+            .add("waited_for", m_operationName)
+            .add("since_ms", now - m_operationStart)
+            .add("age_ms", now - m_asOf));
+    confirm();
+}
+
+void TableFollower::confirmSince(TimePoint since)
+{
+    if (m_operation != 0 && m_operationStart < since)
+        confirm();
+}
+
+void TableFollower::confirm()
+{
+    m_relay.stopServing(m_options.table, steadyNow());
+    m_needsConfirmation = true;
+    m_timer.cancel();
+    m_overdueTimer.cancel();
+    if (m_hasSnapshot)
+        pullOrReadChanges();
+    else
+        readSnapshot({});
+}
+
 void TableFollower::callAfter(Duration delay, std::function<void()> next)
 {
+    const auto operation = beginOperation("pause", delay);
     m_timer.expires_after(delay);
-    m_timer.async_wait([next = std::move(next), isAlive = m_isAlive](const boost::system::error_code& ec) {
-        if (!ec && *isAlive)
-            next();
-    });
+    m_timer.async_wait(
+        [this, operation, next = std::move(next), isAlive = m_isAlive](const boost::system::error_code& ec) {
+            if (!ec && *isAlive && isCurrent(operation))
+                next();
+        });
 }
 
 void TableFollower::readSnapshot(const std::string& firstKey)
 {
-    if (firstKey.empty())
+    const auto operation = beginOperation("snapshot", Duration { 0 });
+    if (firstKey.empty()) {
         m_snapshotRows.clear();
-    m_callStart = steadyNow();
-    m_store.read(m_options.table, firstKey, [this, isAlive = m_isAlive](Result<StoreRows> rows) {
-        if (!*isAlive)
+        m_snapshotStart = m_operationStart;
+    }
+    m_store.read(m_options.table, firstKey, [this, operation, isAlive = m_isAlive](Result<StoreRows> rows) {
+        if (!*isAlive || !isCurrent(operation))
             return;
+        attemptEnded();
         if (!rows) {
             storeCallFailed(rows.error(), [this] { readSnapshot({}); });
             return;
@@ -53,9 +98,10 @@
             readSnapshot(m_snapshotRows.back().key + '\0');
             return;
         }
+        m_hasSnapshot = true;
         m_relay.directReadSucceeded();
-        updateSucceeded(m_callStart);
-        m_relay.addChanges(m_options.table, m_version, { {}, m_version, false }, m_callStart, steadyNow());
+        updateSucceeded(m_snapshotStart);
+        m_relay.addChanges(m_options.table, m_version, { {}, m_version, false }, m_snapshotStart, steadyNow());
         m_handlers.onSnapshot(std::exchange(m_snapshotRows, {}), m_version);
         callAfter(m_options.storeCallPause, [this] { pullOrReadChanges(); });
     });
@@ -81,12 +127,19 @@
 
 void TableFollower::pullChanges()
 {
-    m_relay.pull(m_options.table, m_version, m_options.wait, steadyNow(),
-        [this, isAlive = m_isAlive](const std::optional<TableRelay::Changes>& changes) {
-            if (!*isAlive)
+    const auto operation = beginOperation("pull", wait());
+    m_relay.pull(m_options.table, m_version, wait(), steadyNow(),
+        [this, operation, isAlive = m_isAlive](const TableRelay::PullResult& changes) {
+            if (!*isAlive || !isCurrent(operation))
                 return;
+            attemptEnded();
             if (!changes) {
-                readUnlessBackingOff();
+                // A reader that does not know the changes says so at once, so asking the next one costs no time.
+                m_needsConfirmation = true;
+                if (changes.error() == PullFailure::NotKnown && m_relay.canPull(steadyNow()))
+                    pullChanges();
+                else
+                    readUnlessBackingOff();
                 return;
             }
             // The peer reads the store, so this instance must not answer pulls from its own history any longer.
@@ -98,12 +151,13 @@
 
 void TableFollower::readChanges()
 {
-    m_callStart = steadyNow();
+    const auto operation = beginOperation("changes", wait());
     m_relay.startReading(m_options.table, m_version);
     startOverdueTimer();
-    m_store.changes(m_options.table, m_version, m_options.wait, [this, isAlive = m_isAlive](Result<StoreRows> rows) {
-        if (!*isAlive)
+    m_store.changes(m_options.table, m_version, wait(), [this, operation, isAlive = m_isAlive](Result<StoreRows> rows) {
+        if (!*isAlive || !isCurrent(operation))
             return;
+        attemptEnded();
         m_overdueTimer.cancel();
         if (!rows && rows.error().code == ErrorCode::NotFound) {
             m_log.write(
@@ -117,16 +171,16 @@
         }
         m_relay.directReadSucceeded();
         markSignificant(*rows);
-        m_relay.addChanges(m_options.table, m_version, *rows, m_callStart, steadyNow());
+        m_relay.addChanges(m_options.table, m_version, *rows, m_operationStart, steadyNow());
         std::erase_if(rows->rows, [](const auto& row) { return !row.isNews; });
-        applyChanges(*rows, m_callStart);
+        applyChanges(*rows, m_operationStart);
         callAfter(m_options.storeCallPause, [this] { pullOrReadChanges(); });
     });
 }
 
 void TableFollower::startOverdueTimer()
 {
-    m_overdueTimer.expires_after(m_options.wait + m_options.callOverdueMargin);
+    m_overdueTimer.expires_after(wait() + m_options.callOverdueMargin);
     m_overdueTimer.async_wait([this, isAlive = m_isAlive](const boost::system::error_code& ec) {
         if (!ec && *isAlive)
             m_relay.stopServing(m_options.table, steadyNow());
@@ -152,6 +206,7 @@
 void TableFollower::updateSucceeded(TimePoint asOf)
 {
     m_retryDelay = Duration { 0 };
+    m_needsConfirmation = false;
     m_asOf = std::max(m_asOf, asOf);
     if (std::exchange(m_isReached, true))
         return;
@@ -162,6 +217,7 @@
 void TableFollower::storeCallFailed(const Error& error, std::function<void()> next)
 {
     m_relay.storeContactLost(m_options.table, steadyNow());
+    m_needsConfirmation = true;
     m_retryDelay = std::clamp(m_retryDelay * 2, m_options.minimumRetryDelay, m_options.maximumRetryDelay);
     if (std::exchange(m_isReached, false)) {
         m_log.write(
--- a/libs/entry/src/TableRelay.cpp
+++ b/libs/entry/src/TableRelay.cpp
@@ -73,10 +73,13 @@
         return;
     const auto& pull = node.mapped();
     if (!changes.isKnown) {
-        skipReader(pull.reader, "not_known", m_options.unknownChangesBackoff, now);
-        pull.handler(std::nullopt);
+        auto& backoff = m_unknownChangesBackoffs[pull.reader];
+        backoff = std::clamp(backoff * 2, m_options.unknownChangesBackoff, m_options.maximumUnknownChangesBackoff);
+        skipReader(pull.reader, "not_known", backoff, now);
+        pull.handler(tl::make_unexpected(PullFailure::NotKnown));
         return;
     }
+    m_unknownChangesBackoffs.erase(pull.reader);
     // If the reader's version is older than that of the pull, it has not yet read all that this instance has received,
     // and does not count as the source of its version.
     if (changes.version >= pull.version)
@@ -115,8 +118,8 @@
     }
     table.version = std::max(rows.version, since);
     table.asOf = asOf;
-    const auto firstAnswerable = std::stable_partition(
-        table.held.begin(), table.held.end(), [&](const auto& held) { return !hasChangesFor(held.pull, table); });
+    const auto firstAnswerable = std::stable_partition(table.held.begin(), table.held.end(),
+        [&](const auto& held) { return !hasChangesFor(held.pull, table) && held.pull.wait > Duration { 0 }; });
     for (auto it = firstAnswerable; it != table.held.end(); ++it)
         answer(*it, &table, now);
     table.held.erase(firstAnswerable, table.held.end());
@@ -144,14 +147,16 @@
 
 void TableRelay::receive(const std::string& senderAddress, const TablePull& pull, TimePoint now)
 {
-    const HeldPull held { senderAddress, pull, now };
+    HeldPull held { senderAddress, pull, now, now + std::min(pull.wait, maximumPullWait) };
     const auto it = m_tables.find(pull.table);
     if (it == m_tables.end() || pull.version < it->second.historyStart) {
         answer(held, nullptr, now);
         return;
     }
     auto& table = it->second;
-    if (hasChangesFor(pull, table) || pull.wait <= Duration { 0 })
+    if (!table.asOf)
+        held.deadline = std::max(held.deadline, now + m_options.firstResponseWait);
+    if (hasChangesFor(pull, table) || held.deadline <= now)
         answer(held, &table, now);
     else
         table.held.push_back(held);
@@ -179,8 +184,7 @@
 void TableRelay::tick(TimePoint now)
 {
     for (auto& [name, table] : m_tables) {
-        const auto hasExpired
-            = [now](const HeldPull& held) { return now - held.received >= std::min(held.pull.wait, maximumPullWait); };
+        const auto hasExpired = [now](const HeldPull& held) { return held.deadline <= now; };
         for (const auto& held : table.held) {
             if (hasExpired(held))
                 answer(held, &table, now);
@@ -198,7 +202,7 @@
     }
     for (const auto& pull : expired) {
         skipReader(pull.reader, "silent", m_options.unresponsiveReaderBackoff, now);
-        pull.handler(std::nullopt);
+        pull.handler(tl::make_unexpected(PullFailure::Silent));
     }
 }
 
--- a/libs/entry/tests/TableFollowerTest.cpp
+++ b/libs/entry/tests/TableFollowerTest.cpp
@@ -37,6 +37,8 @@
         void changes(const std::string&, std::uint64_t version, Duration wait, RowsHandler handler) override
         {
             ++reads;
+            if (losesCalls)
+                return;
             if (isDown) {
                 asio::post(m_context, [handler = std::move(handler)] {
                     handler(makeError(ErrorCode::Unavailable, "read changes", "store", "down"));
@@ -63,6 +65,7 @@
 
         std::size_t reads = 0;
         bool isDown = false;
+        bool losesCalls = false; // Calls never end.
 
     private:
         struct Call {
@@ -127,10 +130,13 @@
         {
             const auto end = steadyNow() + time;
             while (steadyNow() < end) {
+                context.restart(); // It stops when no call is in flight.
                 context.run_for(milliseconds { 20 });
                 for (auto& instance : instances) {
-                    if (!instance->isStopped)
-                        instance->relay.tick(steadyNow());
+                    if (instance->isStopped)
+                        continue;
+                    instance->relay.tick(steadyNow());
+                    instance->follower.checkProgress(steadyNow());
                 }
             }
         }
@@ -206,6 +212,9 @@
     CPPUNIT_TEST(readsDoNotGrowWithInstances);
     CPPUNIT_TEST(stoppedReaderDelaysNoChange);
     CPPUNIT_TEST(readerWithoutStoreDelaysNoChange);
+    CPPUNIT_TEST(lostCallDoesNotEndTheFollowing);
+    CPPUNIT_TEST(readersThatKnowNothingCauseFewStoreCalls);
+    CPPUNIT_TEST(tableIsConfirmedAtOnceAfterAPause);
     CPPUNIT_TEST(outageCausesFewStoreCalls);
     CPPUNIT_TEST(oneTableRetriesForAllInAnOutage);
     CPPUNIT_TEST_SUITE_END();
@@ -252,6 +261,53 @@
         CPPUNIT_ASSERT(fleet.instances[0]->keys.contains("three"));
     }
 
+    // A call of the store that never ends must not end the following of the table: the instance would send requests to
+    // servers that have left.
+    void lostCallDoesNotEndTheFollowing()
+    {
+        Fleet fleet(1);
+        fleet.run(milliseconds { 700 });
+        fleet.instances[0]->store.losesCalls = true;
+        fleet.run(milliseconds { 600 });
+        fleet.instances[0]->store.losesCalls = false;
+        fleet.put("six");
+        fleet.run(milliseconds { 400 + 1'500 + 200 });
+        CPPUNIT_ASSERT(fleet.allHaveKey("six"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, fleet.instances[0]->follower.abandonedOperations());
+    }
+
+    // The store refuses the first reader for seconds, and the second one serves. If the instances read the store
+    // whenever the first reader knows nothing, the calls grow with the number of instances.
+    void readersThatKnowNothingCauseFewStoreCalls()
+    {
+        Fleet fleet(20);
+        fleet.run(milliseconds { 700 });
+        fleet.instances[0]->store.isDown = true;
+        fleet.run(milliseconds { 600 });
+        const auto before = fleet.reads();
+        fleet.run(milliseconds { 2'000 });
+        // The second reader makes at most one call per 400 ms, or per change, the first one a few retries.
+        CPPUNIT_ASSERT(fleet.reads() - before <= 20);
+        fleet.put("seven");
+        fleet.run(milliseconds { 700 });
+        CPPUNIT_ASSERT(fleet.allHaveKey("seven"));
+    }
+
+    // After a pause, what an instance knows may be outdated. It must not take a whole wait of a pull to confirm it.
+    void tableIsConfirmedAtOnceAfterAPause()
+    {
+        Fleet fleet(3);
+        fleet.run(milliseconds { 700 });
+        auto& follower = fleet.instances[2]->follower;
+        const auto wakeTime = steadyNow();
+        CPPUNIT_ASSERT(follower.lastAttempt() < wakeTime);
+        follower.confirmSince(wakeTime);
+        fleet.run(milliseconds { 60 });
+        CPPUNIT_ASSERT(follower.lastAttempt() >= wakeTime);
+        // The reader's newest finished call may have begun one wait and one pause before its running one.
+        CPPUNIT_ASSERT(follower.asOf() >= wakeTime - milliseconds { 400 + 100 + 400 + 100 });
+    }
+
     // During an outage of the store, retries of 20 instances would cause many calls, and refused calls are charged as
     // well.
     void outageCausesFewStoreCalls()
--- a/libs/entry/tests/TableRelayTest.cpp
+++ b/libs/entry/tests/TableRelayTest.cpp
@@ -40,10 +40,9 @@
         void pull(const std::string& name, std::uint64_t version, Duration wait)
         {
             auto& instance = m_instances.at(name);
-            instance.relay.pull(
-                "servers", version, wait, now, [&instance](const std::optional<TableRelay::Changes>& changes) {
-                    instance.results.push_back(changes);
-                });
+            instance.relay.pull("servers", version, wait, now, [&instance](const TableRelay::PullResult& changes) {
+                instance.results.push_back(changes ? std::optional(*changes) : std::nullopt);
+            });
         }
 
         void pullAndDeliver(const std::string& name, std::uint64_t version, Duration wait)
