steering, platform: knowledge from before a pause is confirmed before use

An attempt that found the store and the peers unreachable counts as well, so an outage of the store stops nobody.

--- /dev/null
+++ b/libs/steering/include/steering/KnowledgeGuard.h
@@ -0,0 +1,54 @@
+// Decides whether an instance may still act on what it knows of servers, keys, evacuations and the configuration.
+
+#pragma once
+
+#include "base/Time.h"
+
+#include <algorithm>
+
+namespace peridot {
+
+struct KnowledgeGuardOptions {
+    // The process was paused if it handled no event for this long. Its knowledge then counts as expired.
+    Duration maximumPause = Duration::max();
+    // Knowledge expires if no attempt to confirm it has ended for this long, although the process was running.
+    Duration maximumAge = Duration::max();
+};
+
+/**
+ * Knowledge is current if an attempt to confirm it has ended that began after the last pause and at most
+ * KnowledgeGuardOptions::maximumAge ago. An attempt that found the store and all peers unreachable counts as well: the
+ * instance then knows that no newer state can be had, and an outage of the store must not stop the service.
+ */
+class KnowledgeGuard {
+public:
+    explicit KnowledgeGuard(KnowledgeGuardOptions options)
+        : m_options(options)
+    {
+    }
+
+    /** Has to be called with every event, before it is handled. */
+    void eventBegins(TimePoint now) noexcept
+    {
+        if (m_lastEvent != TimePoint {} && now - m_lastEvent > m_options.maximumPause)
+            m_requiredSince = now;
+        m_lastEvent = std::max(m_lastEvent, now);
+    }
+    /** An attempt to confirm all knowledge that began at @p start has ended. */
+    void confirmed(TimePoint start) noexcept { m_confirmedSince = std::max(m_confirmedSince, start); }
+
+    bool isCurrent(TimePoint now) const noexcept
+    {
+        return m_confirmedSince >= m_requiredSince && now - m_confirmedSince <= m_options.maximumAge;
+    }
+    /** Attempts that began earlier do not confirm the knowledge. */
+    TimePoint requiredSince() const noexcept { return m_requiredSince; }
+
+private:
+    const KnowledgeGuardOptions m_options;
+    TimePoint m_lastEvent {};
+    TimePoint m_requiredSince {}; // End of the last pause.
+    TimePoint m_confirmedSince {};
+};
+
+}
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -7,6 +7,7 @@
 #include "base/EventLog.h"
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "steering/KnowledgeGuard.h"
 #include "steering/ListedServer.h"
 #include "steering/OutflowLimit.h"
 #include "steering/QuotaGate.h"
@@ -38,6 +39,7 @@
 
 enum class RejectReason {
     Starting, // The instance has not received a configuration yet.
+    Unconfirmed, // What the instance knows has expired, for example in a pause of the process.
     Leaving, // The instance stops before the request can be answered.
     UnknownRoute,
     UnknownKey,
@@ -52,8 +54,9 @@
 };
 
 template <>
-inline constexpr EnumNameTable<RejectReason, 12> enumNames<RejectReason> { {
+inline constexpr EnumNameTable<RejectReason, 13> enumNames<RejectReason> { {
     { RejectReason::Starting, "starting" },
+    { RejectReason::Unconfirmed, "unconfirmed" },
     { RejectReason::Leaving, "leaving" },
     { RejectReason::UnknownRoute, "unknown_route" },
     { RejectReason::UnknownKey, "unknown_key" },
@@ -119,6 +122,7 @@
     RegionId region;
     ServicePoolOptions pool;
     SteeringBounds bounds {};
+    KnowledgeGuardOptions knowledge {};
     Duration retryWindow = std::chrono::seconds { 10 };
     // A request that will miss its target latency is queued only if its expected end lies within this share of its
     // remaining time.
@@ -194,6 +198,9 @@
     /** Slots that the callers of each region would fill. */
     void setOfferedLoad(const ServiceId&, std::map<RegionId, double>);
     QuotaGate& quotas() noexcept { return m_quotas; }
+    /** Records that an attempt to confirm the routes, servers and evacuations, which began at @p start, has ended. */
+    void knowledgeConfirmed(TimePoint start) noexcept { m_knowledge.confirmed(start); }
+    const KnowledgeGuard& knowledge() const noexcept { return m_knowledge; }
 
     /** Starts handling a request. The actions for it are returned by this call or by later ones. */
     SteeringActions begin(RequestHandle, const CallerRequest&, TimePoint now);
@@ -246,6 +253,7 @@
     SteeringOptions m_options;
     EventLog& m_log;
     std::uint64_t m_seed;
+    KnowledgeGuard m_knowledge;
     std::shared_ptr<const RouteTable> m_routes;
     std::size_t m_instances = 1;
     std::size_t m_localInstances = 1;
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -116,6 +116,7 @@
     : m_options(std::move(options))
     , m_log(log)
     , m_seed(seed)
+    , m_knowledge(m_options.knowledge)
     , m_quotas(seed)
     , m_split(std::make_unique<SplitSelector>())
 {
@@ -228,6 +229,11 @@
 {
     SteeringActions actions;
     ++m_counters.begun;
+    m_knowledge.eventBegins(now);
+    if (m_routes && !m_knowledge.isCurrent(now)) {
+        rejectUnrouted(handle, caller, RejectReason::Unconfirmed, m_options.minimumRetryAfter, actions);
+        return actions;
+    }
     if (!m_routes) {
         rejectUnrouted(handle, caller, RejectReason::Starting, startingRetryAfter, actions);
         return actions;
@@ -297,6 +303,10 @@
 void TrafficSteering::enqueue(Request& request, TimePoint now, SteeringActions& actions)
 {
     auto& service = *request.service;
+    if (!m_knowledge.isCurrent(now)) {
+        reject(request, RejectReason::Unconfirmed, m_options.minimumRetryAfter, now, actions);
+        return;
+    }
     const auto wanted = query(request);
     request.expectedWarmWork = wanted.warmWork;
     const auto choice = service.pool.choose(wanted, now);
@@ -381,7 +391,7 @@
  *  their latest start. */
 void TrafficSteering::dispatchQueue(Service& service, TimePoint now, SteeringActions& actions)
 {
-    if (service.queue.empty())
+    if (service.queue.empty() || !m_knowledge.isCurrent(now))
         return;
     using Key = std::tuple<bool, int, TimePoint, RequestHandle>;
     std::vector<std::pair<Key, Request*>> order;
@@ -520,6 +530,7 @@
 SteeringActions TrafficSteering::finished(RequestHandle handle, const SendReport& report, TimePoint now)
 {
     SteeringActions actions;
+    m_knowledge.eventBegins(now);
     const auto it = m_requests.find(handle);
     if (it == m_requests.end() || !it->second->runningAt)
         return actions;
@@ -647,6 +658,7 @@
 SteeringActions TrafficSteering::callerDisconnected(RequestHandle handle, TimePoint now)
 {
     SteeringActions actions;
+    m_knowledge.eventBegins(now);
     const auto it = m_requests.find(handle);
     if (it == m_requests.end())
         return actions;
@@ -674,6 +686,7 @@
 SteeringActions TrafficSteering::tick(TimePoint now)
 {
     SteeringActions actions;
+    m_knowledge.eventBegins(now);
     std::vector<Request*> ended;
     for (const auto& [handle, request] : m_requests) {
         if (request->answerDeadline <= now)
--- a/libs/steering/tests/TrafficSteeringTest.cpp
+++ b/libs/steering/tests/TrafficSteeringTest.cpp
@@ -98,6 +98,8 @@
     CPPUNIT_TEST_SUITE(TrafficSteeringTest);
     CPPUNIT_TEST(rejectsBeforeTheFirstConfiguration);
     CPPUNIT_TEST(unknownRoutesAndKeysAreRejected);
+    CPPUNIT_TEST(nothingIsSentOnKnowledgeFromBeforeAPause);
+    CPPUNIT_TEST(knowledgeExpiresIfItIsNotConfirmed);
     CPPUNIT_TEST(olderConfigurationIsIgnored);
     CPPUNIT_TEST(nonIdempotentRequestIsNotSentAgainAfterItMayHaveRun);
     CPPUNIT_TEST(requestThatWasNotRunIsSentElsewhere);
@@ -139,6 +141,48 @@
         CPPUNIT_ASSERT(only<RejectRequest>(unknown)->reason == RejectReason::UnknownKey);
     }
 
+    /** A process that was paused may find requests waiting. Until the tables are confirmed, it must not send them to
+     *  servers, nor accept keys, that may have been withdrawn in the meantime. */
+    void nothingIsSentOnKnowledgeFromBeforeAPause()
+    {
+        auto paused = options();
+        paused.knowledge.maximumPause = 1s;
+        TrafficSteering steering(paused, 1, m_log);
+        steering.setRoutes(*RouteTable::create(data()));
+        steering.setServers(servers(1, 1), start);
+        steering.begin(1, request("/lookup/x"), start);
+        steering.begin(2, request("/lookup/x"), start);
+        const auto queued = steering.begin(3, request("/lookup/x"), start);
+        CPPUNIT_ASSERT(queued.empty());
+        const auto resumed = start + 1200ms;
+        const auto rejected = steering.begin(4, request("/lookup/x"), resumed);
+        const auto* reject = only<RejectRequest>(rejected);
+        CPPUNIT_ASSERT(reject && reject->reason == RejectReason::Unconfirmed && reject->retryAfter > 0ms);
+        // The slot that becomes free must not be given to the queued request either.
+        for (const auto& action : steering.finished(1, report(DispatchResult::Succeeded), resumed))
+            CPPUNIT_ASSERT(!std::get_if<SendToServer>(&action));
+        // An attempt that began before the pause confirms nothing.
+        steering.knowledgeConfirmed(start + 100ms);
+        CPPUNIT_ASSERT(!steering.knowledge().isCurrent(resumed));
+        steering.knowledgeConfirmed(resumed + 1ms);
+        const auto actions = steering.tick(resumed + 10ms);
+        CPPUNIT_ASSERT(std::any_of(actions.begin(), actions.end(),
+            [](const auto& action) { return std::holds_alternative<SendToServer>(action); }));
+    }
+
+    void knowledgeExpiresIfItIsNotConfirmed()
+    {
+        auto limited = options();
+        limited.knowledge.maximumAge = 8s;
+        TrafficSteering steering(limited, 1, m_log);
+        steering.setRoutes(*RouteTable::create(data()));
+        steering.setServers(servers(2, 4), start);
+        steering.knowledgeConfirmed(start);
+        CPPUNIT_ASSERT(only<SendToServer>(steering.begin(1, request("/lookup/x"), start + 7s)));
+        const auto expired = steering.begin(2, request("/lookup/x"), start + 9s);
+        CPPUNIT_ASSERT(only<RejectRequest>(expired)->reason == RejectReason::Unconfirmed);
+    }
+
     /** A peer or a slow read may deliver an older version, which must not restore withdrawn keys. */
     void olderConfigurationIsIgnored()
     {
