steering: requests bound to a region take its slots first

The shares of what leaves a region knew the callers' region of each load, not where it has to run: superior kept requests that could run anywhere, its two report servers saw 109 and 125 objects in 12 s (a server keeps about 30 warm) and 74% of the local requests were late; 0 to 2% of those sent to huron were.

Hypothesis: leave a region's slots to what is bound to it. Each instance measures the share of its offered load that is bound to each region, and takes it as that of all regions.

--- a/libs/steering/include/steering/ServicePool.h
+++ b/libs/steering/include/steering/ServicePool.h
@@ -141,8 +141,12 @@
     void connected(const BackendServerId&, Duration roundTrip);
 
     /** Sets the number of slots that the callers of each region would fill if all their requests were served by warm
-     *  servers. */
-    void setOfferedLoad(std::map<RegionId, double> offered) { m_offeredLoad = std::move(offered); }
+     *  servers, and the shares of this load that home regions bind to one region each. */
+    void setOfferedLoad(std::map<RegionId, double> offered, std::map<RegionId, double> boundShares = {})
+    {
+        m_offeredLoad = std::move(offered);
+        m_boundShares = std::move(boundShares);
+    }
     /** Adapts the spilled shares. Call it about every 20 ms. @p hasUnservedRequests is true while requests wait or
      *  are rejected. */
     void tick(TimePoint now, bool hasUnservedRequests);
@@ -152,7 +156,7 @@
     std::uint32_t localSlots() const noexcept; // Slots of the usable servers of the own region.
     /** Requests per slot at the own region's usable servers that are not ejected, including queued requests. */
     double localOccupancy(TimePoint now) const;
-    /** Share of the own region's requests that is sent to other regions. */
+    /** Share of the own region's requests that is sent to other regions, of those that may run in any. */
     double spillShare() const noexcept;
     Duration roundTrip(const RegionId&) const;
 
@@ -199,7 +203,7 @@
     const Order& orderFor(std::uint64_t object);
     /** Selects the region that serves the request according to the spilled shares. */
     RegionId selectRegion(const PoolQuery&);
-    /** Shares of the own region's requests that should be sent to each other region. */
+    /** Shares of the own region's requests that should be sent to each other region, of those that may run in any. */
     std::map<RegionId, double> spillTargets() const;
     /** Offered load of all regions per usable slot. */
     double overallUse() const;
@@ -219,6 +223,7 @@
     double m_coldRatePerSecond = 1;
     double m_coldShare = 1;
     std::map<RegionId, double> m_offeredLoad;
+    std::map<RegionId, double> m_boundShares; // Of the offered load of each region. The sum is at most 1.
     // Share of the own region's requests that is sent to each other region; set by tick(). The sum is at most 1.
     std::map<RegionId, double> m_spillShares;
     TimePoint m_nextSpillStep {};
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -224,6 +224,8 @@
     /** Measured work times, or initial estimates for a route without a response yet. */
     WorkTimes workTimes(const Route&) const;
     PoolQuery query(const Request&) const;
+    /** Region to which the home regions of the route or the workspace bind the request; null if there are several. */
+    static const RegionId* homeRegion(const Request&);
     static bool isLate(const Request&, TimePoint now);
     void enqueue(Request&, TimePoint now, SteeringActions&);
     Duration expectedWait(const Request&, TimePoint now);
--- a/libs/steering/src/ServicePool.cpp
+++ b/libs/steering/src/ServicePool.cpp
@@ -490,9 +490,9 @@
     return sum;
 }
 
-/** Each region keeps the load at which its slots are as full as those of all regions together, and at least the load
- *  `localUseBeforeSpill` per slot. The excess is divided among the other regions in proportion to their free
- *  capacity. */
+/** Requests that home regions bind to a region take its slots first. Of the other requests, each region keeps the load
+ *  at which its slots are as full as those of all regions together, and at least the load `localUseBeforeSpill` per
+ * slot. The excess is divided among the other regions in proportion to their free capacity. */
 std::map<RegionId, double> ServicePool::spillTargets() const
 {
     std::map<RegionId, double> slots;
@@ -503,24 +503,36 @@
         slots[server->info.region] += server->info.slots;
         allSlots += server->info.slots;
     }
-    const auto offeredBy = [&](const RegionId& region) {
-        const auto it = m_offeredLoad.find(region);
-        return it == m_offeredLoad.end() ? 0.0 : it->second;
+    double allOffered = 0;
+    for (const auto& [region, offered] : m_offeredLoad)
+        allOffered += offered;
+    double freeShare = 1;
+    for (const auto& [region, share] : m_boundShares)
+        freeShare -= share;
+    const auto valueOf = [](const std::map<RegionId, double>& values, const RegionId& region) {
+        const auto it = values.find(region);
+        return it == values.end() ? 0.0 : it->second;
     };
     // Until the load is measured, all regions are assumed to have the same demand, which fills all slots.
-    const bool isMeasured = offeredBy(m_region) > 0;
+    const bool isMeasured = valueOf(m_offeredLoad, m_region) > 0;
     const auto assumed = allSlots / static_cast<double>(std::max<std::size_t>(slots.size(), 1));
-    const auto demandOf = [&](const RegionId& region) { return isMeasured ? offeredBy(region) : assumed; };
+    const auto freeDemandOf = [&](const RegionId& region) {
+        return isMeasured ? std::max(freeShare, 0.0) * valueOf(m_offeredLoad, region) : assumed;
+    };
+    const auto boundDemandOf
+        = [&](const RegionId& region) { return isMeasured ? valueOf(m_boundShares, region) * allOffered : 0.0; };
     const auto use = isMeasured ? std::max(localUseBeforeSpill, overallUse()) : 1.0;
-    const auto excess = std::max(0.0, demandOf(m_region) - use * m_localUseFactor * slots[m_region]);
+    const auto kept = std::max(0.0, use * m_localUseFactor * slots[m_region] - boundDemandOf(m_region));
+    const auto excess = std::max(0.0, freeDemandOf(m_region) - kept);
     std::map<RegionId, double> targets;
     double room = 0;
     for (const auto& [region, count] : slots) {
         if (region != m_region)
-            room += targets[region] = std::max(0.0, std::max(use, remoteUseLimit) * count - demandOf(region));
+            room += targets[region]
+                = std::max(0.0, std::max(use, remoteUseLimit) * count - boundDemandOf(region) - freeDemandOf(region));
     }
     for (auto& [region, share] : targets)
-        share = room > 0 ? std::min(excess, room) * share / room / demandOf(m_region) : 0;
+        share = room > 0 && excess > 0 ? std::min(excess, room) * share / room / freeDemandOf(m_region) : 0;
     return targets;
 }
 
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -102,6 +102,7 @@
     RateEstimate sendRate { rateTimeConstant, initialQueueRatePerSecond }; // All sends per second.
     bool hasRejected = false; // A request was rejected since the last tick because no server would be free in time.
     RateEstimate offeredLoad { offeredTimeConstant, 0 }; // Work of arriving requests, in seconds per second.
+    std::map<RegionId, RateEstimate> boundLoads; // The part of offeredLoad that may run in one region only.
     // Sends of late requests per second while late requests are queued.
     RateEstimate lateRate { rateTimeConstant, initialLateRatePerSecond };
 
@@ -194,8 +195,16 @@
 
 void TrafficSteering::setOfferedLoad(const ServiceId& id, std::map<RegionId, double> offered)
 {
-    if (const auto it = m_services.find(id); it != m_services.end())
-        it->second->pool.setOfferedLoad(std::move(offered));
+    const auto it = m_services.find(id);
+    if (it == m_services.end())
+        return;
+    auto& service = *it->second;
+    std::map<RegionId, double> boundShares;
+    if (const auto all = service.offeredLoad.perSecond(); all > 0) {
+        for (const auto& [region, load] : service.boundLoads)
+            boundShares[region] = load.perSecond() / all;
+    }
+    service.pool.setOfferedLoad(std::move(offered), std::move(boundShares));
 }
 
 void TrafficSteering::configureServices()
@@ -274,11 +283,24 @@
     }
     it.service = &service(m_split->select(*route));
     it.service->retries.requestStarted(now);
-    it.service->offeredLoad.count(workTimes(*route).mean / 1e6);
+    const auto work = workTimes(*route).mean / 1e6;
+    it.service->offeredLoad.count(work);
+    if (const auto* home = homeRegion(it)) {
+        it.service->boundLoads.try_emplace(*home, RateEstimate { offeredTimeConstant, 0 }).first->second.count(work);
+    }
     enqueue(it, now, actions);
     return actions;
 }
 
+const RegionId* TrafficSteering::homeRegion(const Request& request)
+{
+    const auto& routeHomes = request.route->homeRegions;
+    if (routeHomes.size() == 1)
+        return &routeHomes.front();
+    return request.workspace && request.workspace->homeRegions.size() == 1 ? &request.workspace->homeRegions.front()
+                                                                           : nullptr;
+}
+
 TrafficSteering::WorkTimes TrafficSteering::workTimes(const Route& route) const
 {
     const auto it = m_workTimes.find(route.name);
@@ -703,6 +725,8 @@
     }
     for (const auto& [id, service] : m_services) {
         service->offeredLoad.advance(now, true);
+        for (auto& [region, load] : service->boundLoads)
+            load.advance(now, true);
         service->pool.tick(now, !service->queue.empty() || std::exchange(service->hasRejected, false));
         dispatchQueue(*service, now, actions);
     }
