steering: within a quota, callers who come back too late come last

Cause: a workspace that asks for more than its quota gets its refused callers back 0.5 s later.

Hypothesis: the same number is served, more of it in time, if the quota covers first attempts first. LateAttemptDetector compares the time that a caller still waits with the median of its route and workspace; QuotaGate divides the probability, whose mean stays.

--- a/libs/steering/include/steering/QuotaGate.h
+++ b/libs/steering/include/steering/QuotaGate.h
@@ -39,8 +39,11 @@
     void configure(const std::vector<WorkspaceQuota>&);
     void setAdmission(const WorkspaceId&, const QuotaAdmission&);
 
-    /** Admits a request, or returns the time after which the caller should retry. Unknown workspaces are admitted. */
-    tl::expected<void, Duration> tryAdmit(const WorkspaceId&, TimePoint now);
+    /** Admits a request, or returns the time after which the caller should retry. Unknown workspaces are admitted.
+     * While a workspace exceeds its quota, its late attempts (LateAttemptDetector) are admitted only if the quota
+     * covers all of its other requests, because each of them would take the place of a request that can still be in
+     * time. */
+    tl::expected<void, Duration> tryAdmit(const WorkspaceId&, TimePoint now, bool isLateAttempt = false);
     /** Removes the admission of a request that was not sent to any server from the usage. */
     void refund(const WorkspaceId&);
 
@@ -63,6 +66,9 @@
         QuotaAdmission admission;
         Usage usage;
         std::uint64_t demand = 0; // Requests since the last takeDemand(), including refused ones.
+        double lateShare = 0; // Smoothed share of late attempts among the requests.
+
+        double probability(bool isLateAttempt) const noexcept;
     };
 
     std::map<WorkspaceId, Entry> m_entries;
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -8,6 +8,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "steering/KnowledgeGuard.h"
+#include "steering/LateAttemptDetector.h"
 #include "steering/ListedServer.h"
 #include "steering/OutflowLimit.h"
 #include "steering/QuotaGate.h"
@@ -259,6 +260,7 @@
     std::shared_ptr<const RouteTable> m_routes;
     std::size_t m_instances = 1;
     std::size_t m_localInstances = 1;
+    LateAttemptDetector m_lateAttempts;
     QuotaGate m_quotas;
     OutflowLimit m_outflow;
     std::unique_ptr<class SplitSelector> m_split;
--- a/libs/steering/src/QuotaGate.cpp
+++ b/libs/steering/src/QuotaGate.cpp
@@ -5,6 +5,12 @@
 
 namespace peridot {
 
+namespace {
+
+    constexpr double lateShareSmoothing = 0.02;
+
+}
+
 void QuotaGate::Usage::advance(TimePoint now) noexcept
 {
     const auto passed = now - windowStart;
@@ -39,17 +45,27 @@
         it->second.admission = admission;
 }
 
-tl::expected<void, Duration> QuotaGate::tryAdmit(const WorkspaceId& id, TimePoint now)
+/** Divides the probability of the workspace between late attempts and others, so that the mean stays the same. */
+double QuotaGate::Entry::probability(bool isLateAttempt) const noexcept
+{
+    const auto others = 1 - lateShare;
+    if (!isLateAttempt)
+        return others > 0 ? std::min(1.0, admission.probability / others) : admission.probability;
+    return lateShare > 0 ? std::max(0.0, admission.probability - others) / lateShare : admission.probability;
+}
+
+tl::expected<void, Duration> QuotaGate::tryAdmit(const WorkspaceId& id, TimePoint now, bool isLateAttempt)
 {
     const auto it = m_entries.find(id);
     if (it == m_entries.end())
         return {};
     auto& entry = it->second;
     ++entry.demand;
+    entry.lateShare += lateShareSmoothing * ((isLateAttempt ? 1 : 0) - entry.lateShare);
     if (entry.rate <= 0)
         return {};
     if (entry.admission.probability < 1
-        && std::uniform_real_distribution<double>(0, 1)(m_random) >= entry.admission.probability)
+        && std::uniform_real_distribution<double>(0, 1)(m_random) >= entry.probability(isLateAttempt))
         return tl::make_unexpected(entry.admission.retryAfter);
     auto& usage = entry.usage;
     usage.advance(now);
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -82,6 +82,7 @@
     WarmReason warmReason = WarmReason::None; // Why the server of the running send may hold the object.
     bool isQueued = false;
     bool isLate = false; // Result of isLate() when the request was last queued or visited in the queue.
+    bool isLateAttempt = false; // Result of LateAttemptDetector.
     bool isCountedInQuota = false;
     unsigned sends = 0;
     unsigned runs = 0; // Sends that may have run.
@@ -274,8 +275,11 @@
         it.object = XXH3_64bits(caller.object.data(), caller.object.size());
     const auto [entry, isNew] = m_requests.emplace(handle, std::move(request));
     PERIDOT_ASSERT(isNew, "a request handle is used once");
+    it.isLateAttempt = caller.remainingTime
+        && m_lateAttempts.isLate(
+            route->name, workspace ? workspace->id : WorkspaceId {}, *caller.remainingTime, route->targetLatency);
     if (workspace) {
-        if (auto taken = m_quotas.tryAdmit(workspace->id, now); !taken) {
+        if (auto taken = m_quotas.tryAdmit(workspace->id, now, it.isLateAttempt); !taken) {
             reject(it, RejectReason::RateExceeded, taken.error(), now, actions);
             return actions;
         }
--- a/libs/steering/tests/QuotaGateTest.cpp
+++ b/libs/steering/tests/QuotaGateTest.cpp
@@ -28,6 +28,7 @@
 class QuotaGateTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(QuotaGateTest);
     CPPUNIT_TEST(admitsWithTheGivenProbability);
+    CPPUNIT_TEST(lateAttemptsComeLast);
     CPPUNIT_TEST(allowanceBoundsASurge);
     CPPUNIT_TEST(newConfigurationKeepsUsage);
     CPPUNIT_TEST(retryAfterMatchesTheAllowance);
@@ -48,6 +49,28 @@
         CPPUNIT_ASSERT(!refused && refused.error() == 3s);
     }
 
+    /** Load pattern: a workspace exceeds its quota, and its refused callers come back too late for their target. If
+     * they were admitted like the others, half of what the quota allows would be answered late. */
+    void lateAttemptsComeLast()
+    {
+        QuotaGate gate(7);
+        gate.configure(quota(100, 50));
+        const auto count = [&](double probability) {
+            gate.setAdmission(kavana, { probability, 1e6, 1s });
+            std::pair<int, int> result;
+            for (int i = 0; i < 4'000; ++i) {
+                const bool isLate = i % 2 == 0;
+                (isLate ? result.second : result.first) += gate.tryAdmit(kavana, start, isLate) ? 1 : 0;
+            }
+            return result;
+        };
+        count(0.3);
+        const auto [first, late] = count(0.3);
+        CPPUNIT_ASSERT(first > 1'100 && first < 1'300 && late == 0);
+        const auto [allFirst, someLate] = count(0.8);
+        CPPUNIT_ASSERT(allFirst > 1'950 && someLate > 1'100 && someLate < 1'300);
+    }
+
     /** Load pattern: a workspace surges before any other instance has received its demand. */
     void allowanceBoundsASurge()
     {
--- a/libs/steering/tests/ServicePoolTest.cpp
+++ b/libs/steering/tests/ServicePoolTest.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(unresponsiveServerIsAvoidedBeforeItsResponse);
     CPPUNIT_TEST(oneSlowResponseDoesNotMakeAServerSlow);
     CPPUNIT_TEST(smallRegionSpillsItsExcessLoad);
+    CPPUNIT_TEST(requestsBoundToARegionTakeItsSlotsFirst);
     CPPUNIT_TEST(equallyLoadedRegionsDoNotSpill);
     CPPUNIT_TEST(regionShortOfSlotsSpillsMore);
     CPPUNIT_TEST(spillShareChangesWithinTheMaximumShift);
@@ -357,6 +358,24 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1 - 90.0 / 128 * 16 / 30, pool.spillShare(), 0.02);
     }
 
+    /** Load pattern: a fifth of all requests may run only in a region with a sixteenth of the slots. If that region
+     * kept other requests as well, its servers would hold the objects of neither. */
+    void requestsBoundToARegionTakeItsSlotsFirst()
+    {
+        const std::map<RegionId, double> offered { { jadran, 20 }, { slavonija, 20 }, { zagorje, 20 } };
+        const auto spillShareOf = [&](const RegionId& region) {
+            ServicePool pool(region, ServicePoolOptions {}, 1);
+            pool.setServers(serversIn(jadran, 8) + serversIn(slavonija, 1) + serversIn(zagorje, 7), start);
+            pool.started(send(pool, query(1), start), 1, start);
+            pool.setOfferedLoad(offered, { { slavonija, 0.2 } });
+            for (auto now = start; now < start + 20s; now += 20ms)
+                pool.tick(now, false);
+            return pool.spillShare();
+        };
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1, spillShareOf(slavonija), 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0, spillShareOf(jadran), 0.01);
+    }
+
     /** Load pattern: all regions are equally loaded. Requests that change their region would only become cold. */
     void equallyLoadedRegionsDoNotSpill()
     {
