steering: requests with small responses leave the region first

A download has 90 KB in the mean, the other kinds 0.4 KB, and what leaves a region was chosen by object alone.

Hypothesis: the same share of load leaves, but large responses stay as long as small ones suffice. The size of a route's responses is measured; large are those beyond TCP's initial congestion window. The order takes effect over 10 s, so that it stays within the cap on shifts.

--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -123,6 +123,7 @@
         const auto info = m_protocol.inspectResponse(*result);
         sendReport.result = info.result;
         sendReport.load = info.load;
+        sendReport.responseBytes = result->body().size();
         if (info.result != DispatchResult::Succeeded)
             sendReport.detail = "status " + std::to_string(result->result_int());
         it->second.response = std::move(*result);
--- a/libs/steering/include/steering/ServicePool.h
+++ b/libs/steering/include/steering/ServicePool.h
@@ -75,6 +75,7 @@
     const std::vector<RegionId>* homeRegions = nullptr;
     const std::vector<RegionId>* workspaceHomeRegions = nullptr;
     std::span<const BackendServerId> excluded; // Servers that must not be chosen.
+    bool hasLargeResponse = false; // Requests with small responses are spilled first.
     Duration coldWork { 0 }; // Expected processing time at a server that does not hold the object.
     Duration warmWork { 0 }; // Expected processing time at a server that holds the object.
 
@@ -113,6 +114,14 @@
     std::size_t orderIndex = 0;
 };
 
+/** Demand for a service, measured in the slots that its requests would fill if warm servers served all of them. */
+struct OfferedLoad {
+    std::map<RegionId, double> byRegion {}; // By the region of the callers.
+    std::map<RegionId, double>
+        boundShares {}; // Shares that home regions bind to one region each. The sum is at most 1.
+    double largeShare = 0; // Share of requests with large responses, of those that may run in any region.
+};
+
 /** Not thread-safe. Each call of started() must be followed by exactly one call of finished(). */
 class ServicePool {
 public:
@@ -140,13 +149,7 @@
     /** Records the round trip measured when a new connection to a server was set up. */
     void connected(const BackendServerId&, Duration roundTrip);
 
-    /** Sets the number of slots that the callers of each region would fill if all their requests were served by warm
-     *  servers, and the shares of this load that home regions bind to one region each. */
-    void setOfferedLoad(std::map<RegionId, double> offered, std::map<RegionId, double> boundShares = {})
-    {
-        m_offeredLoad = std::move(offered);
-        m_boundShares = std::move(boundShares);
-    }
+    void setOfferedLoad(OfferedLoad offered) { m_offeredLoad = std::move(offered); }
     /** Adapts the spilled shares. Call it about every 20 ms. @p hasUnservedRequests is true while requests wait or
      *  are rejected. */
     void tick(TimePoint now, bool hasUnservedRequests);
@@ -201,6 +204,8 @@
         const Server&, std::size_t orderIndex, bool isUnranked, std::uint64_t object, TimePoint now) const;
     void eject(Server&, TimePoint now);
     const Order& orderFor(std::uint64_t object);
+    /** Returns the share of the query's requests that is spilled if @p share of all requests are. */
+    double spillShareFor(const PoolQuery&, double share) const;
     /** Selects the region that serves the request according to the spilled shares. */
     RegionId selectRegion(const PoolQuery&);
     /** Shares of the own region's requests that should be sent to each other region, of those that may run in any. */
@@ -222,8 +227,10 @@
     double m_maximumShiftShare = 0.15; // The users' bound; replaced by setMaximumShiftShare().
     double m_coldRatePerSecond = 1;
     double m_coldShare = 1;
-    std::map<RegionId, double> m_offeredLoad;
-    std::map<RegionId, double> m_boundShares; // Of the offered load of each region. The sum is at most 1.
+    OfferedLoad m_offeredLoad;
+    // Degree to which requests with large responses are kept in the region, 0 to 1. It grows in small steps once there
+    // are any, because it changes the region of requests.
+    double m_keepsLarge = 0;
     // Share of the own region's requests that is sent to each other region; set by tick(). The sum is at most 1.
     std::map<RegionId, double> m_spillShares;
     TimePoint m_nextSpillStep {};
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -105,6 +105,7 @@
     std::optional<ServerLoad> load;
     std::optional<Duration> connectTime; // Set if a connection was opened for the send.
     std::string detail; // For the log.
+    std::size_t responseBytes = 0; // Size of the response's body.
 };
 
 /** Bounds that apply to all instances together. They may change while requests run. */
@@ -246,7 +247,9 @@
     /** Rejects a request without a configuration, a matching route or a valid key. */
     void rejectUnrouted(RequestHandle, const CallerRequest&, RejectReason, Duration retryAfter, SteeringActions&);
     void recordSendResult(Request&, const SendReport&, TimePoint now);
-    void updateWorkTimes(Request&, Duration latency);
+    void updateWorkTimes(Request&, Duration latency, std::size_t responseBytes);
+    /** Whether the route's responses have been large so far. */
+    bool hasLargeResponses(const Route&) const;
     void erase(Request&);
     Duration boundedRetryAfter(Duration wanted, const Request&, TimePoint now) const;
     /** Applies the bounds, this instance's share of them and the evacuated domains to every service. */
--- a/libs/steering/src/ServicePool.cpp
+++ b/libs/steering/src/ServicePool.cpp
@@ -33,6 +33,7 @@
     constexpr double localUseFactorDecrease = 0.015;
     constexpr double localUseFactorIncrease = 0.005;
     constexpr double minimumLocalUseFactor = 0.4;
+    constexpr double keepsLargeStep = 0.025; // Per step of the spilled shares.
     // Slots count as short for this long after tick() found them short.
     constexpr Duration slotShortageHoldTime = std::chrono::milliseconds { 500 };
     // Requests per slot of the region. With fewer, cold work delays no other request.
@@ -206,8 +207,11 @@
 {
     // Each region uses its own hash or random number, so that a change of one share moves few objects between the other
     // regions.
+    const auto all = spillShare();
+    const auto scale = all > 0 ? spillShareFor(query, all) / all : 0;
     double left = 1;
-    for (const auto& [region, share] : m_spillShares) {
+    for (const auto& [region, spilled] : m_spillShares) {
+        const auto share = spilled * scale;
         if (share <= 0)
             continue;
         const auto draw = query.object ? uniform(hashOf(*query.object, region.value()))
@@ -219,6 +223,16 @@
     return m_region;
 }
 
+double ServicePool::spillShareFor(const PoolQuery& query, double share) const
+{
+    const auto large = m_offeredLoad.largeShare;
+    if (large <= 0 || large >= 1)
+        return share;
+    const auto ordered
+        = query.hasLargeResponse ? std::max(0.0, share - (1 - large)) / large : std::min(1.0, share / (1 - large));
+    return share + m_keepsLarge * (ordered - share);
+}
+
 WarmReason ServicePool::warmReason(
     const Server& server, std::size_t orderIndex, bool isUnranked, std::uint64_t object, TimePoint now) const
 {
@@ -504,23 +518,24 @@
         allSlots += server->info.slots;
     }
     double allOffered = 0;
-    for (const auto& [region, offered] : m_offeredLoad)
+    for (const auto& [region, offered] : m_offeredLoad.byRegion)
         allOffered += offered;
     double freeShare = 1;
-    for (const auto& [region, share] : m_boundShares)
+    for (const auto& [region, share] : m_offeredLoad.boundShares)
         freeShare -= share;
     const auto valueOf = [](const std::map<RegionId, double>& values, const RegionId& region) {
         const auto it = values.find(region);
         return it == values.end() ? 0.0 : it->second;
     };
     // Until the load is measured, all regions are assumed to have the same demand, which fills all slots.
-    const bool isMeasured = valueOf(m_offeredLoad, m_region) > 0;
+    const bool isMeasured = valueOf(m_offeredLoad.byRegion, m_region) > 0;
     const auto assumed = allSlots / static_cast<double>(std::max<std::size_t>(slots.size(), 1));
     const auto freeDemandOf = [&](const RegionId& region) {
-        return isMeasured ? std::max(freeShare, 0.0) * valueOf(m_offeredLoad, region) : assumed;
+        return isMeasured ? std::max(freeShare, 0.0) * valueOf(m_offeredLoad.byRegion, region) : assumed;
+    };
+    const auto boundDemandOf = [&](const RegionId& region) {
+        return isMeasured ? valueOf(m_offeredLoad.boundShares, region) * allOffered : 0.0;
     };
-    const auto boundDemandOf
-        = [&](const RegionId& region) { return isMeasured ? valueOf(m_boundShares, region) * allOffered : 0.0; };
     const auto use = isMeasured ? std::max(localUseBeforeSpill, overallUse()) : 1.0;
     const auto kept = std::max(0.0, use * m_localUseFactor * slots[m_region] - boundDemandOf(m_region));
     const auto excess = std::max(0.0, freeDemandOf(m_region) - kept);
@@ -539,7 +554,7 @@
 double ServicePool::overallUse() const
 {
     double offered = 0;
-    for (const auto& [region, amount] : m_offeredLoad)
+    for (const auto& [region, amount] : m_offeredLoad.byRegion)
         offered += amount;
     const auto all = slots();
     return all == 0 ? 1 : offered / all;
@@ -553,6 +568,8 @@
     if (now < m_nextSpillStep)
         return;
     m_nextSpillStep = now + m_options.spillInterval;
+    if (m_offeredLoad.largeShare > 0)
+        m_keepsLarge = std::min(1.0, m_keepsLarge + keepsLargeStep);
     if (localSlots() == 0)
         return; // choose() uses the other regions. The shares are kept for when local servers are back.
     // Random variation, slow servers and cold objects take slot time that the offered load does not include. If all
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -22,6 +22,8 @@
     // and the route would never be measured.
     constexpr double initialColdWorkShare = 0.6;
     constexpr double initialWarmWorkShare = 0.3;
+    // A larger response exceeds the initial congestion window of TCP, so it takes further round trips between regions.
+    constexpr double largeResponseBytes = 14'600;
     // A pass over the queue stops choosing servers after this many requests for which no server has a free slot.
     constexpr std::size_t maximumWaitingPerPass = 24;
     constexpr unsigned maximumSends = 4; // Sends of one request, including those that servers refuse.
@@ -53,6 +55,7 @@
     double cold = 0;
     double warm = 0;
     double mean = 0; // Of all successful sends, warm and cold.
+    double responseBytes = 0; // Mean size of the bodies of successful responses.
 
     explicit WorkTimes(Duration target)
         : cold(static_cast<double>(target.count()) * initialColdWorkShare)
@@ -103,6 +106,7 @@
     RateEstimate sendRate { rateTimeConstant, initialQueueRatePerSecond }; // All sends per second.
     bool hasRejected = false; // A request was rejected since the last tick because no server would be free in time.
     RateEstimate offeredLoad { offeredTimeConstant, 0 }; // Work of arriving requests, in seconds per second.
+    RateEstimate largeLoad { offeredTimeConstant, 0 }; // The part with large responses that may run in any region.
     std::map<RegionId, RateEstimate> boundLoads; // The part of offeredLoad that may run in one region only.
     // Sends of late requests per second while late requests are queued.
     RateEstimate lateRate { rateTimeConstant, initialLateRatePerSecond };
@@ -200,12 +204,16 @@
     if (it == m_services.end())
         return;
     auto& service = *it->second;
-    std::map<RegionId, double> boundShares;
+    OfferedLoad load { std::move(offered), {}, 0 };
     if (const auto all = service.offeredLoad.perSecond(); all > 0) {
-        for (const auto& [region, load] : service.boundLoads)
-            boundShares[region] = load.perSecond() / all;
+        auto free = all;
+        for (const auto& [region, bound] : service.boundLoads) {
+            load.boundShares[region] = bound.perSecond() / all;
+            free -= bound.perSecond();
+        }
+        load.largeShare = free > 0 ? std::min(1.0, service.largeLoad.perSecond() / free) : 0;
     }
-    service.pool.setOfferedLoad(std::move(offered), std::move(boundShares));
+    service.pool.setOfferedLoad(std::move(load));
 }
 
 void TrafficSteering::configureServices()
@@ -291,6 +299,8 @@
     it.service->offeredLoad.count(work);
     if (const auto* home = homeRegion(it)) {
         it.service->boundLoads.try_emplace(*home, RateEstimate { offeredTimeConstant, 0 }).first->second.count(work);
+    } else if (hasLargeResponses(*route)) {
+        it.service->largeLoad.count(work);
     }
     enqueue(it, now, actions);
     return actions;
@@ -311,6 +321,12 @@
     return it == m_workTimes.end() ? WorkTimes(route.targetLatency) : it->second;
 }
 
+bool TrafficSteering::hasLargeResponses(const Route& route) const
+{
+    const auto it = m_workTimes.find(route.name);
+    return it != m_workTimes.end() && it->second.responseBytes > largeResponseBytes;
+}
+
 PoolQuery TrafficSteering::query(const Request& request) const
 {
     PoolQuery query;
@@ -318,6 +334,7 @@
     query.homeRegions = &request.route->homeRegions;
     query.workspaceHomeRegions = request.workspace ? &request.workspace->homeRegions : nullptr;
     query.excluded = request.excluded;
+    query.hasLargeResponse = hasLargeResponses(*request.route);
     const auto times = workTimes(*request.route);
     query.warmWork = Duration { static_cast<Duration::rep>(times.warm) };
     query.coldWork = request.object ? Duration { static_cast<Duration::rep>(times.cold) } : query.warmWork;
@@ -530,7 +547,8 @@
     pool.finished(server, report.result, now - request.sentAt, expected, report.load, now);
     if (report.result == DispatchResult::Succeeded) {
         const auto* info = pool.find(server);
-        updateWorkTimes(request, now - request.sentAt - (info ? pool.roundTrip(info->region) : Duration { 0 }));
+        updateWorkTimes(request, now - request.sentAt - (info ? pool.roundTrip(info->region) : Duration { 0 }),
+            report.responseBytes);
     }
     const bool hasNotRun = report.result == DispatchResult::Shed || report.result == DispatchResult::WrongServer
         || report.result == DispatchResult::NotSent;
@@ -540,7 +558,7 @@
         request.excluded.push_back(server);
 }
 
-void TrafficSteering::updateWorkTimes(Request& request, Duration latency)
+void TrafficSteering::updateWorkTimes(Request& request, Duration latency, std::size_t responseBytes)
 {
     auto& times = m_workTimes.try_emplace(request.route->name, request.route->targetLatency).first->second;
     // Cold work takes about three times as long as warm work, so their geometric mean separates them.
@@ -550,6 +568,7 @@
     auto& value = wasWarm ? times.warm : times.cold;
     value += workSmoothing * (static_cast<double>(std::max(latency, Duration { 1'000 }).count()) - value);
     times.warm = std::min(times.warm, times.cold);
+    times.responseBytes += workSmoothing * (static_cast<double>(responseBytes) - times.responseBytes);
     times.mean += workSmoothing * (static_cast<double>(latency.count()) - times.mean);
 }
 
@@ -729,6 +748,7 @@
     }
     for (const auto& [id, service] : m_services) {
         service->offeredLoad.advance(now, true);
+        service->largeLoad.advance(now, true);
         for (auto& [region, load] : service->boundLoads)
             load.advance(now, true);
         service->pool.tick(now, !service->queue.empty() || std::exchange(service->hasRejected, false));
--- a/libs/steering/tests/ServicePoolTest.cpp
+++ b/libs/steering/tests/ServicePoolTest.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(oneSlowResponseDoesNotMakeAServerSlow);
     CPPUNIT_TEST(smallRegionSpillsItsExcessLoad);
     CPPUNIT_TEST(requestsBoundToARegionTakeItsSlotsFirst);
+    CPPUNIT_TEST(smallResponsesAreSpilledFirst);
     CPPUNIT_TEST(equallyLoadedRegionsDoNotSpill);
     CPPUNIT_TEST(regionShortOfSlotsSpillsMore);
     CPPUNIT_TEST(spillShareChangesWithinTheMaximumShift);
@@ -351,7 +352,7 @@
         pool.tick(start, false);
         CPPUNIT_ASSERT(pool.spillShare() > 0.5); // Before the first request, equal demand of the regions is assumed.
         pool.started(send(pool, query(1), start), 1, start);
-        pool.setOfferedLoad({ { jadran, 30 }, { slavonija, 30 }, { zagorje, 30 } });
+        pool.setOfferedLoad({ { { jadran, 30 }, { slavonija, 30 }, { zagorje, 30 } }, {}, 0 });
         for (auto now = start; now < start + 20s; now += 20ms)
             pool.tick(now, false);
         // The offered load fills 90 of 128 slots; slavonija keeps the load that fills this share of its 16 slots.
@@ -367,7 +368,7 @@
             ServicePool pool(region, ServicePoolOptions {}, 1);
             pool.setServers(serversIn(jadran, 8) + serversIn(slavonija, 1) + serversIn(zagorje, 7), start);
             pool.started(send(pool, query(1), start), 1, start);
-            pool.setOfferedLoad(offered, { { slavonija, 0.2 } });
+            pool.setOfferedLoad({ offered, { { slavonija, 0.2 } }, 0 });
             for (auto now = start; now < start + 20s; now += 20ms)
                 pool.tick(now, false);
             return pool.spillShare();
@@ -376,13 +377,36 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0, spillShareOf(jadran), 0.01);
     }
 
+    /** Load pattern: a region has to spill a third of its load, half of which are downloads. If it spilled by object
+     * only, half of the spilled requests would carry large responses between the regions. */
+    void smallResponsesAreSpilledFirst()
+    {
+        auto pool = makePool();
+        pool.setServers(serversIn(jadran, 4) + serversIn(slavonija, 8), start);
+        pool.started(send(pool, query(1), start), 1, start);
+        pool.setOfferedLoad({ { { jadran, 32 }, { slavonija, 5 } }, {}, 0.5 });
+        for (auto now = start; now < start + 20s; now += 20ms)
+            pool.tick(now, false);
+        CPPUNIT_ASSERT(pool.spillShare() > 0.3 && pool.spillShare() < 0.5);
+        int small = 0;
+        int large = 0;
+        for (std::uint64_t object = 0; object < 1'000; ++object) {
+            auto it = query(object);
+            small += pool.choose(it, start + 20s).isSpill ? 1 : 0;
+            it.hasLargeResponse = true;
+            large += pool.choose(it, start + 20s).isSpill ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(0, large);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2 * pool.spillShare(), small / 1'000.0, 0.05);
+    }
+
     /** Load pattern: all regions are equally loaded. Requests that change their region would only become cold. */
     void equallyLoadedRegionsDoNotSpill()
     {
         auto pool = makePool();
         pool.setServers(serversIn(jadran, 4) + serversIn(slavonija, 4) + serversIn(zagorje, 4), start);
         send(pool, query(1), start);
-        pool.setOfferedLoad({ { jadran, 60 }, { slavonija, 60 }, { zagorje, 60 } });
+        pool.setOfferedLoad({ { { jadran, 60 }, { slavonija, 60 }, { zagorje, 60 } }, {}, 0 });
         for (auto now = start; now < start + 10s; now += 20ms)
             pool.tick(now, true);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0, pool.spillShare(), 1e-9);
@@ -397,7 +421,7 @@
         pool.setServers(serversIn(jadran, 2) + serversIn(slavonija, 6) + serversIn(zagorje, 6), start);
         for (std::uint64_t i = 0; i < 13; ++i)
             pool.started(BackendServerId(i % 2 ? "jadran0" : "jadran1"), i, start);
-        pool.setOfferedLoad({ { jadran, 9 }, { slavonija, 15 }, { zagorje, 15 } });
+        pool.setOfferedLoad({ { { jadran, 9 }, { slavonija, 15 }, { zagorje, 15 } }, {}, 0 });
         for (auto now = start; now < start + 5s; now += 20ms)
             pool.tick(now, false);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0, pool.spillShare(), 1e-9);
@@ -415,13 +439,13 @@
     {
         auto pool = makePool();
         pool.setServers(serversIn(jadran, 2) + serversIn(slavonija, 6) + serversIn(zagorje, 6), start);
-        pool.setOfferedLoad({ { jadran, 5 }, { slavonija, 5 }, { zagorje, 5 } });
+        pool.setOfferedLoad({ { { jadran, 5 }, { slavonija, 5 }, { zagorje, 5 } }, {}, 0 });
         pool.tick(start, false);
         send(pool, query(1), start);
         std::vector<double> shares;
         for (auto now = start; now < start + 20s; now += 20ms) {
             const bool isPeak = now >= start + 4s && now < start + 12s;
-            pool.setOfferedLoad({ { jadran, isPeak ? 80 : 5 }, { slavonija, 5 }, { zagorje, 5 } });
+            pool.setOfferedLoad({ { { jadran, isPeak ? 80 : 5 }, { slavonija, 5 }, { zagorje, 5 } }, {}, 0 });
             pool.tick(now, isPeak);
             shares.push_back(pool.spillShare());
             if (shares.size() > 100)
