--- a/libs/base/include/base/SteadyTime.h
+++ b/libs/base/include/base/SteadyTime.h
@@ -16,7 +16,6 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<SuspendAwareClock>;
-    static constexpr bool is_steady = true;
 
     static time_point now() noexcept
     {
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -19,7 +19,7 @@
     constexpr std::uint32_t responseHeaderBytes = 32'768; // Twice what callers may send by default.
     // Bytes that the parser leaves in the buffer are the start of a header, a chunk header or a trailer. The parser
     // limits the size of headers only.
-    constexpr std::size_t unparsedBytes = 2 * responseHeaderBytes;
+    constexpr std::size_t unparsedBytes = 65'536;
     // A server that sends more responses to other requests, or more informational ones, is faulty.
     constexpr unsigned maximumSkippedResponses = 16;
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
