steering: log the home regions that a send obeys

Logs could not tell whether a request left its home regions because they had changed, or because the instance did not know the change: a send named the server's region, but neither the homes nor the workspace. The send line now has workspace, route_homes and workspace_homes; configuration_in_force counts routes and workspaces with homes.

--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -41,6 +41,22 @@
     constexpr double coldRateShare = 0.8;
     constexpr double coldSenderShare = 0.6; // Share of the possible concurrent senders; which instances send is random.
 
+    template <typename T> std::size_t countHomed(const std::vector<T>& items)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(items.begin(), items.end(), [](const T& it) { return !it.homeRegions.empty(); }));
+    }
+
+    std::string joinRegions(const std::vector<RegionId>* regions)
+    {
+        std::string text;
+        if (!regions)
+            return text;
+        for (const auto& region : *regions)
+            text += (text.empty() ? "" : ",") + region.value();
+        return text;
+    }
+
 }
 
 void LatencyHistogram::add(Duration duration) noexcept
@@ -147,6 +163,8 @@
             .add("version", routes->version())
             .add("previous", m_routes ? m_routes->version() : 0)
             .add("routes", routes->data().routes.size())
+            .add("homed_routes", countHomed(routes->data().routes))
+            .add("homed_workspaces", countHomed(routes->data().workspaces))
             .add("keys", routes->data().keys.size()));
     m_routes = std::move(routes);
     m_quotas.configure(m_routes->data().workspaces);
@@ -520,6 +538,9 @@
         LogLine("send")
             .add("request", request.id)
             .add("route", request.route->name)
+            .add("workspace", request.workspace ? request.workspace->id : WorkspaceId {})
+            .add("route_homes", joinRegions(wanted.homeRegions))
+            .add("workspace_homes", joinRegions(wanted.workspaceHomeRegions))
             .add("service", choice.server->service)
             .add("object", request.object.value_or(0))
             .add("server", choice.server->id)
