steering: open requests follow the configuration in force

Callers saw a request with home regions run in another region. A request kept the routes of its arrival until its end. Queued, or sent again after a failed send, it was decided by home regions that a newer configuration had moved; a withdrawn key and a removed route still permitted sends.

admit() finds route and workspace; begin() uses it, and so does followConfiguration() for each queued request before a pass over the queue and for each request before it may be sent again. A request that the configuration in force no longer admits is rejected, as not run if it has not run. Service and deadlines of the arrival stay. A quota is given back to the workspace that was charged.

--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -15,6 +15,8 @@
 #include "steering/RouteTable.h"
 #include "steering/ServicePool.h"
 
+#include <tl/expected.hpp>
+
 #include <array>
 #include <cstdint>
 #include <map>
@@ -176,8 +178,9 @@
 /**
  * Decides on each request of the callers and returns the actions to perform. Not thread-safe.
  *
- * Invariants: a request that is not idempotent is sent again only if none of its sends may have run. A request is
- * rejected with a reason that states "not run" only if none of its sends may have run.
+ * Invariants: a request is sent only as the configuration in force at that moment allows. A request that is not
+ * idempotent is sent again only if none of its sends may have run. A request is rejected with a reason that states "not
+ * run" only if none of its sends may have run.
  */
 class TrafficSteering {
 public:
@@ -221,11 +224,22 @@
     struct Request;
     struct Service;
     struct WorkTimes;
+    struct Admission {
+        const Route* route = nullptr;
+        const WorkspaceQuota* workspace = nullptr; // Null on open routes.
+    };
 
     Service& service(const ServiceId&);
     /** Measured work times, or initial estimates for a route without a response yet. */
     WorkTimes workTimes(const Route&) const;
     PoolQuery query(const Request&) const;
+    /** Finds the route and the workspace by the configuration in force. Fails with UnknownRoute or UnknownKey. */
+    tl::expected<Admission, RejectReason> admit(
+        const std::string& host, const std::string& path, const std::string& key) const;
+    /** Applies the configuration in force to a request that is not running, which may have been admitted by an earlier
+     *  one. The service and the deadlines of its arrival stay. Returns a reason if the configuration does not admit the
+     *  request any more; it is then not to be sent. */
+    std::optional<RejectReason> followConfiguration(Request&) const;
     /** Region to which the home regions of the route or the workspace bind the request; null if there are several. */
     static const RegionId* homeRegion(const Request&);
     static bool isLate(const Request&, TimePoint now);
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -84,6 +84,10 @@
 struct TrafficSteering::Request {
     RequestHandle handle = 0;
     std::string id;
+    std::string host;
+    std::string path;
+    std::string key;
+    // While the request is not running, these three follow the configuration in force; see followConfiguration().
     std::shared_ptr<const RouteTable> routes; // Keeps `route` alive.
     const Route* route = nullptr;
     const WorkspaceQuota* workspace = nullptr; // Null on open routes.
@@ -102,7 +106,7 @@
     bool isQueued = false;
     bool isLate = false; // Result of isLate() when the request was last queued or visited in the queue.
     bool isLateAttempt = false; // Result of LateAttemptDetector.
-    bool isCountedInQuota = false;
+    std::optional<WorkspaceId> countedIn; // The workspace whose quota the request has used.
     unsigned sends = 0;
     unsigned runs = 0; // Sends that may have run.
 
@@ -274,23 +278,19 @@
         rejectUnrouted(handle, caller, RejectReason::Starting, startingRetryAfter, actions);
         return actions;
     }
-    const auto* route = m_routes->find(caller.host, caller.path);
-    if (!route) {
-        rejectUnrouted(handle, caller, RejectReason::UnknownRoute, {}, actions);
+    const auto admission = admit(caller.host, caller.path, caller.key);
+    if (!admission) {
+        rejectUnrouted(handle, caller, admission.error(), {}, actions);
         return actions;
     }
-    const WorkspaceQuota* workspace = nullptr;
-    if (!route->isOpen && !m_routes->data().workspaces.empty()) {
-        workspace = m_routes->workspaceOfKey(caller.key);
-        if (!workspace) {
-            rejectUnrouted(handle, caller, RejectReason::UnknownKey, {}, actions);
-            return actions;
-        }
-    }
+    const auto& [route, workspace] = *admission;
     auto request = std::make_unique<Request>();
     auto& it = *request;
     it.handle = handle;
     it.id = caller.id;
+    it.host = caller.host;
+    it.path = caller.path;
+    it.key = caller.key;
     it.routes = m_routes;
     it.route = route;
     it.workspace = workspace;
@@ -309,7 +309,7 @@
             reject(it, RejectReason::RateExceeded, taken.error(), now, actions);
             return actions;
         }
-        it.isCountedInQuota = true;
+        it.countedIn = workspace->id;
     }
     it.service = &service(m_split->select(*route));
     it.service->retries.requestStarted(now);
@@ -324,6 +324,33 @@
     return actions;
 }
 
+tl::expected<TrafficSteering::Admission, RejectReason> TrafficSteering::admit(
+    const std::string& host, const std::string& path, const std::string& key) const
+{
+    const auto* route = m_routes->find(host, path);
+    if (!route)
+        return tl::make_unexpected(RejectReason::UnknownRoute);
+    if (route->isOpen || m_routes->data().workspaces.empty())
+        return Admission { route, nullptr };
+    const auto* workspace = m_routes->workspaceOfKey(key);
+    if (!workspace)
+        return tl::make_unexpected(RejectReason::UnknownKey);
+    return Admission { route, workspace };
+}
+
+std::optional<RejectReason> TrafficSteering::followConfiguration(Request& request) const
+{
+    if (request.routes == m_routes)
+        return std::nullopt;
+    const auto admission = admit(request.host, request.path, request.key);
+    if (!admission)
+        return admission.error();
+    request.routes = m_routes;
+    request.route = admission->route;
+    request.workspace = admission->workspace;
+    return std::nullopt;
+}
+
 const RegionId* TrafficSteering::homeRegion(const Request& request)
 {
     const auto& routeHomes = request.route->homeRegions;
@@ -454,6 +481,13 @@
 {
     if (service.queue.empty() || !m_knowledge.isCurrent(now))
         return;
+    std::vector<std::pair<Request*, RejectReason>> withdrawn;
+    for (auto* request : service.queue) {
+        if (const auto reason = followConfiguration(*request))
+            withdrawn.emplace_back(request, *reason);
+    }
+    for (const auto& [request, reason] : withdrawn)
+        reject(*request, reason, {}, now, actions);
     using Key = std::tuple<bool, int, TimePoint, RequestHandle>;
     std::vector<std::pair<Key, Request*>> order;
     order.reserve(service.queue.size());
@@ -622,8 +656,9 @@
 
 void TrafficSteering::retryOrEnd(Request& request, const SendReport& report, TimePoint now, SteeringActions& actions)
 {
-    const bool mayRunAgain
-        = request.runs == 0 || (request.route->isIdempotent && request.runs < request.route->maximumAttempts);
+    const auto withdrawn = followConfiguration(request);
+    const bool mayRunAgain = !withdrawn
+        && (request.runs == 0 || (request.route->isIdempotent && request.runs < request.route->maximumAttempts));
     const bool hasTime = now + request.expectedWork < request.answerDeadline;
     const bool needsNoRetryBudget = report.result == DispatchResult::NotSent; // The server has received nothing.
     if (mayRunAgain && hasTime && request.sends < maximumSends
@@ -637,7 +672,7 @@
         return;
     }
     if (request.runs == 0)
-        reject(request, RejectReason::NotExecuted, m_options.minimumRetryAfter, now, actions);
+        reject(request, withdrawn.value_or(RejectReason::NotExecuted), m_options.minimumRetryAfter, now, actions);
     else
         reject(request, RejectReason::ServerFailed, {}, now, actions);
 }
@@ -673,7 +708,8 @@
     if (reportsNotRun && request.runs > 0)
         reason = RejectReason::ServerFailed;
     ++m_counters.rejected[reason];
-    const bool hasRetryAfter = reportsNotRun && request.runs == 0;
+    const bool mayComeBack = reason != RejectReason::UnknownRoute && reason != RejectReason::UnknownKey;
+    const bool hasRetryAfter = reportsNotRun && request.runs == 0 && mayComeBack;
     // Rejections by quota state the time that the gate returned; others state the expected wait, limited to the range
     // that callers respect.
     const auto after = !hasRetryAfter          ? Duration { 0 }
@@ -694,8 +730,8 @@
                 .add("retry_after_ms", after)
                 .add("version", request.routes->version()));
     }
-    if (request.isCountedInQuota && request.sends == 0)
-        m_quotas.refund(request.workspace->id);
+    if (request.countedIn && request.sends == 0)
+        m_quotas.refund(*request.countedIn);
     erase(request);
 }
 
@@ -741,8 +777,8 @@
     if (request.runningAt) {
         actions.emplace_back(CancelSend { handle });
         recordSendResult(request, { DispatchResult::Cancelled, {}, {}, {} }, now);
-    } else if (request.isCountedInQuota && request.sends == 0) {
-        m_quotas.refund(request.workspace->id);
+    } else if (request.countedIn && request.sends == 0) {
+        m_quotas.refund(*request.countedIn);
     }
     erase(request);
     dispatchQueue(service, now, actions);
--- a/libs/steering/tests/ConfigurationChangeTest.cpp
+++ b/libs/steering/tests/ConfigurationChangeTest.cpp
@@ -6,7 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <functional>
+#include <array>
 #include <map>
 #include <random>
 #include <set>
@@ -152,7 +152,8 @@
             data.workspaces.clear();
             data.keys.clear();
             for (std::size_t i = 0; i < s_workspaces; ++i) {
-                data.workspaces.push_back({ WorkspaceId(key(i)), std::nullopt, 0, 0, homes() });
+                const auto some = i % 2 == 0 ? homes() : std::vector<RegionId> {};
+                data.workspaces.push_back({ WorkspaceId(key(i)), std::nullopt, 0, 0, some });
                 data.keys.emplace(key(i), data.workspaces.back().id);
             }
         }
@@ -169,8 +170,10 @@
     void runWithChangingHomes(unsigned seed)
     {
         std::mt19937 random(seed);
-        TrafficSteering steering(options(), seed, m_log);
-        const auto listed = serversInAllRegions(2);
+        auto anyOutflow = options();
+        anyOutflow.bounds.maximumShiftShare = 1; // Most requests must leave the region.
+        TrafficSteering steering(anyOutflow, seed, m_log);
+        const auto listed = serversInAllRegions(4);
         steering.setServers(listed, start);
         std::map<BackendServerId, RegionId> regions;
         for (const auto& server : listed)
@@ -221,10 +224,14 @@
                 if (it.isRunning)
                     running.push_back(other);
             }
-            if (!running.empty() && random() % 4 == 0) {
+            if (!running.empty() && random() % 3 != 0) {
                 const auto ended = running[random() % running.size()];
                 open.at(ended).isRunning = false;
-                collect(steering.finished(ended, report(static_cast<DispatchResult>(random() % 6)), now));
+                constexpr std::array failures { DispatchResult::ServerError, DispatchResult::Shed,
+                    DispatchResult::NotSent, DispatchResult::Broken };
+                const auto result
+                    = random() % 4 != 0 ? DispatchResult::Succeeded : failures[random() % failures.size()];
+                collect(steering.finished(ended, report(result), now));
             }
             collect(steering.tick(now));
         }
