http: a connection that opens after its timeout sends nothing

A process that is paused while it connects finds both the connection and the connect timeout due when it resumes. The connection was handled first, and the request went out seconds after it was decided: by home regions, a server list and a remaining time from before the pause, although the knowledge guard would reject it.

onConnected() now fails an exchange whose connecting outlasted the timeout, as not sent, so that the steering decides it anew.

--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -113,8 +113,14 @@
         fail("cannot connect: " + ec.message());
         return;
     }
+    // After a pause of the process the connection and its timeout are due together. The request was decided before.
+    const auto connectTime = std::chrono::duration_cast<Duration>(Clock::now() - m_connectStart);
+    if (connectTime > m_options.connectTimeout) {
+        fail("connecting took too long");
+        return;
+    }
     m_state = State::Open;
-    m_connectTime = std::chrono::duration_cast<Duration>(Clock::now() - m_connectStart);
+    m_connectTime = connectTime;
     read();
     if (m_onResult)
         write();
--- a/libs/http/tests/ClientConnectionTest.cpp
+++ b/libs/http/tests/ClientConnectionTest.cpp
@@ -100,6 +100,7 @@
     CPPUNIT_TEST(bytesWithoutEndAreCutOff);
     CPPUNIT_TEST(silentServerEndsTheExchangeOnce);
     CPPUNIT_TEST(timeoutThatIsDueWithTheResponseSparesTheNextRequest);
+    CPPUNIT_TEST(requestIsNotSentIfConnectingOutlastsItsTimeout);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -261,6 +262,22 @@
         CPPUNIT_ASSERT(second && *second);
     }
 
+    /** A process that is paused while it connects finds the connection open when it resumes. The request must not be
+     *  sent then: the home regions, the server list and the remaining time by which it was decided are old. */
+    void requestIsNotSentIfConnectingOutlastsItsTimeout()
+    {
+        Loopback loopback;
+        std::optional<ExchangeResult> result;
+        loopback.connection->send(
+            HttpRequest(http::verb::get, "/", 11), nullptr, [&](ExchangeResult it) { result = std::move(it); });
+        std::this_thread::sleep_for(ClientConnectionOptions {}.connectTimeout + 100ms);
+        loopback.run();
+        CPPUNIT_ASSERT(result && !*result);
+        CPPUNIT_ASSERT(!result->error().wasSent);
+        loopback.acceptor.accept(loopback.peer);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, loopback.peer.available());
+    }
+
     void malformedResponsesAreToldApart()
     {
         for (const std::string bytes :
