steering: what the arrival or the new configuration forbids is forbidden

A request keeps the admission of its arrival beside the one in force. Home regions of both bind, it may run again only if both allow it, and if that leaves no region or no run it is rejected (configuration_changed, 503 with Retry-After; 502 if it may have run). On open routes the home regions of a key that the caller sends bind as well. Withdrawn keys and routes get the same answer instead of 401 and 404, which would deny a request that was allowed when it was sent.

--- a/libs/steering/include/steering/ServicePool.h
+++ b/libs/steering/include/steering/ServicePool.h
@@ -71,16 +71,17 @@
 /** Properties of a request that determine which servers may and should run it. */
 struct PoolQuery {
     std::optional<std::uint64_t> object; // Hash of the affinity key; set on sticky routes only.
-    // Regions in which the route's and the workspace's requests may run. Null or empty allows any region.
-    const std::vector<RegionId>* homeRegions = nullptr;
-    const std::vector<RegionId>* workspaceHomeRegions = nullptr;
+    // Lists of regions in which the request may run. Each of them binds; a null or empty one allows any region.
+    std::array<const std::vector<RegionId>*, 4> homeRegions {};
     std::span<const BackendServerId> excluded; // Servers that must not be chosen.
     bool hasLargeResponse = false; // Requests with small responses are spilled first.
     Duration coldWork { 0 }; // Expected processing time at a server that does not hold the object.
     Duration warmWork { 0 }; // Expected processing time at a server that holds the object.
 
-    /** Whether both lists of home regions allow the request to run in the region. */
+    /** Whether all lists of home regions allow the request to run in the region. */
     bool allows(const RegionId&) const;
+    /** Whether the lists of home regions have a region in common. */
+    bool allowsAnyRegion() const;
 };
 
 /**
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -46,6 +46,7 @@
     Leaving, // The instance stops before the request can be answered.
     UnknownRoute,
     UnknownKey,
+    ConfigurationChanged, // A configuration that came into force while the request waited does not allow it to run.
     RateExceeded,
     Overloaded, // The request is not expected to be served in time.
     ShiftLimited, // The request may run in other regions only, and their share of the requests may not grow faster.
@@ -57,12 +58,13 @@
 };
 
 template <>
-inline constexpr EnumNameTable<RejectReason, 13> enumNames<RejectReason> { {
+inline constexpr EnumNameTable<RejectReason, 14> enumNames<RejectReason> { {
     { RejectReason::Starting, "starting" },
     { RejectReason::Unconfirmed, "unconfirmed" },
     { RejectReason::Leaving, "leaving" },
     { RejectReason::UnknownRoute, "unknown_route" },
     { RejectReason::UnknownKey, "unknown_key" },
+    { RejectReason::ConfigurationChanged, "configuration_changed" },
     { RejectReason::RateExceeded, "rate_exceeded" },
     { RejectReason::Overloaded, "overloaded" },
     { RejectReason::ShiftLimited, "shift_limited" },
@@ -178,7 +180,7 @@
 /**
  * Decides on each request of the callers and returns the actions to perform. Not thread-safe.
  *
- * Invariants: a request is sent only as the configuration in force at that moment allows. A request that is not
+ * Invariants: a request is sent only as the configuration in force and that of its arrival allow. A request that is not
  * idempotent is sent again only if none of its sends may have run. A request is rejected with a reason that states "not
  * run" only if none of its sends may have run.
  */
@@ -224,9 +226,12 @@
     struct Request;
     struct Service;
     struct WorkTimes;
+    /** What a configuration says about a request. */
     struct Admission {
+        std::shared_ptr<const RouteTable> routes; // Keeps the objects below alive.
         const Route* route = nullptr;
         const WorkspaceQuota* workspace = nullptr; // Null on open routes.
+        const WorkspaceQuota* keyHolder = nullptr; // Its home regions bind on open routes as well. Null without a key.
     };
 
     Service& service(const ServiceId&);
@@ -236,9 +241,10 @@
     /** Finds the route and the workspace by the configuration in force. Fails with UnknownRoute or UnknownKey. */
     tl::expected<Admission, RejectReason> admit(
         const std::string& host, const std::string& path, const std::string& key) const;
-    /** Applies the configuration in force to a request that is not running, which may have been admitted by an earlier
-     *  one. The service and the deadlines of its arrival stay. Returns a reason if the configuration does not admit the
-     *  request any more; it is then not to be sent. */
+    /** Applies the configuration in force to a request that is not running and was admitted by an earlier one. The
+     *  service and the deadlines of its arrival stay. What either configuration forbids is forbidden: home regions of
+     *  both bind, and the request may run again only if both allow it. Returns a reason if the request is not to be
+     *  sent any more. */
     std::optional<RejectReason> followConfiguration(Request&) const;
     /** Region to which the home regions of the route or the workspace bind the request; null if there are several. */
     static const RegionId* homeRegion(const Request&);
--- a/libs/steering/src/ServicePool.cpp
+++ b/libs/steering/src/ServicePool.cpp
@@ -62,10 +62,17 @@
 
 bool PoolQuery::allows(const RegionId& region) const
 {
-    const auto isAmong = [&](const std::vector<RegionId>* homes) {
+    return std::all_of(homeRegions.begin(), homeRegions.end(), [&](const std::vector<RegionId>* homes) {
         return !homes || homes->empty() || std::find(homes->begin(), homes->end(), region) != homes->end();
-    };
-    return isAmong(homeRegions) && isAmong(workspaceHomeRegions);
+    });
+}
+
+bool PoolQuery::allowsAnyRegion() const
+{
+    const auto isBound = [](const std::vector<RegionId>* homes) { return homes && !homes->empty(); };
+    const auto bound = std::find_if(homeRegions.begin(), homeRegions.end(), isBound);
+    return bound == homeRegions.end()
+        || std::any_of((*bound)->begin(), (*bound)->end(), [this](const RegionId& region) { return allows(region); });
 }
 
 ServicePool::ServicePool(RegionId ownRegion, ServicePoolOptions options, std::uint64_t seed)
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -87,10 +87,10 @@
     std::string host;
     std::string path;
     std::string key;
-    // While the request is not running, these three follow the configuration in force; see followConfiguration().
-    std::shared_ptr<const RouteTable> routes; // Keeps `route` alive.
-    const Route* route = nullptr;
-    const WorkspaceQuota* workspace = nullptr; // Null on open routes.
+    Admission arrival; // By the configuration of the arrival.
+    Admission current; // Follows the configuration in force while the request is not running.
+    bool isIdempotent = false; // By both configurations.
+    unsigned maximumAttempts = 1; // The smaller number of both configurations.
     Service* service = nullptr;
     std::optional<std::uint64_t> object;
     TimePoint arrived;
@@ -110,8 +110,11 @@
     unsigned sends = 0;
     unsigned runs = 0; // Sends that may have run.
 
-    int rank() const { return workspace && workspace->rank ? *workspace->rank : route->rank; }
-    TimePoint targetTime() const { return arrived + route->targetLatency; }
+    const Route& route() const { return *current.route; }
+    const WorkspaceQuota* workspace() const { return current.workspace; }
+    bool mayRunAgain() const { return runs == 0 || (isIdempotent && runs < maximumAttempts); }
+    int rank() const { return workspace() && workspace()->rank ? *workspace()->rank : route().rank; }
+    TimePoint targetTime() const { return arrived + route().targetLatency; }
     /** Latest time at which the request can start at a warm server and meet its target latency. Ordering by it also
      *  serves requests of routes with long target latencies in time. */
     TimePoint latestStart() const { return targetTime() - expectedWarmWork; }
@@ -283,7 +286,8 @@
         rejectUnrouted(handle, caller, admission.error(), {}, actions);
         return actions;
     }
-    const auto& [route, workspace] = *admission;
+    const auto* route = admission->route;
+    const auto* workspace = admission->workspace;
     auto request = std::make_unique<Request>();
     auto& it = *request;
     it.handle = handle;
@@ -291,9 +295,9 @@
     it.host = caller.host;
     it.path = caller.path;
     it.key = caller.key;
-    it.routes = m_routes;
-    it.route = route;
-    it.workspace = workspace;
+    it.arrival = it.current = *admission;
+    it.isIdempotent = route->isIdempotent;
+    it.maximumAttempts = route->maximumAttempts;
     it.arrived = now;
     it.callerDeadline = now + caller.remainingTime.value_or(route->timeout);
     it.answerDeadline = std::min(now + route->timeout, it.callerDeadline);
@@ -330,34 +334,36 @@
     const auto* route = m_routes->find(host, path);
     if (!route)
         return tl::make_unexpected(RejectReason::UnknownRoute);
+    const auto* keyHolder = m_routes->workspaceOfKey(key);
     if (route->isOpen || m_routes->data().workspaces.empty())
-        return Admission { route, nullptr };
-    const auto* workspace = m_routes->workspaceOfKey(key);
-    if (!workspace)
+        return Admission { m_routes, route, nullptr, keyHolder };
+    if (!keyHolder)
         return tl::make_unexpected(RejectReason::UnknownKey);
-    return Admission { route, workspace };
+    return Admission { m_routes, route, keyHolder, keyHolder };
 }
 
 std::optional<RejectReason> TrafficSteering::followConfiguration(Request& request) const
 {
-    if (request.routes == m_routes)
+    if (request.current.routes == m_routes)
         return std::nullopt;
-    const auto admission = admit(request.host, request.path, request.key);
+    auto admission = admit(request.host, request.path, request.key);
     if (!admission)
-        return admission.error();
-    request.routes = m_routes;
-    request.route = admission->route;
-    request.workspace = admission->workspace;
+        return RejectReason::ConfigurationChanged;
+    request.current = std::move(*admission);
+    request.isIdempotent = request.isIdempotent && request.route().isIdempotent;
+    request.maximumAttempts = std::min(request.maximumAttempts, request.route().maximumAttempts);
+    if (!request.mayRunAgain() || !query(request).allowsAnyRegion())
+        return RejectReason::ConfigurationChanged;
     return std::nullopt;
 }
 
 const RegionId* TrafficSteering::homeRegion(const Request& request)
 {
-    const auto& routeHomes = request.route->homeRegions;
+    const auto& routeHomes = request.route().homeRegions;
     if (routeHomes.size() == 1)
         return &routeHomes.front();
-    return request.workspace && request.workspace->homeRegions.size() == 1 ? &request.workspace->homeRegions.front()
-                                                                           : nullptr;
+    const auto* workspace = request.current.keyHolder;
+    return workspace && workspace->homeRegions.size() == 1 ? &workspace->homeRegions.front() : nullptr;
 }
 
 TrafficSteering::WorkTimes TrafficSteering::workTimes(const Route& route) const
@@ -376,11 +382,12 @@
 {
     PoolQuery query;
     query.object = request.object;
-    query.homeRegions = &request.route->homeRegions;
-    query.workspaceHomeRegions = request.workspace ? &request.workspace->homeRegions : nullptr;
+    const auto homesOf = [](const WorkspaceQuota* workspace) { return workspace ? &workspace->homeRegions : nullptr; };
+    query.homeRegions = { &request.current.route->homeRegions, homesOf(request.current.keyHolder),
+        &request.arrival.route->homeRegions, homesOf(request.arrival.keyHolder) };
     query.excluded = request.excluded;
-    query.hasLargeResponse = hasLargeResponses(*request.route);
-    const auto times = workTimes(*request.route);
+    query.hasLargeResponse = hasLargeResponses(request.route());
+    const auto times = workTimes(request.route());
     query.warmWork = Duration { static_cast<Duration::rep>(times.warm) };
     query.coldWork = request.object ? Duration { static_cast<Duration::rep>(times.cold) } : query.warmWork;
     return query;
@@ -456,7 +463,7 @@
         return false;
     if (!request.isLate)
         return end <= request.targetTime()
-            + fromSeconds(toSeconds(request.route->targetLatency) * m_options.targetOvershootShare);
+            + fromSeconds(toSeconds(request.route().targetLatency) * m_options.targetOvershootShare);
     return end <= now + fromSeconds(toSeconds(request.answerDeadline - now) * m_options.lateWaitShare);
 }
 
@@ -481,13 +488,13 @@
 {
     if (service.queue.empty() || !m_knowledge.isCurrent(now))
         return;
-    std::vector<std::pair<Request*, RejectReason>> withdrawn;
+    std::vector<std::pair<Request*, RejectReason>> refused;
     for (auto* request : service.queue) {
         if (const auto reason = followConfiguration(*request))
-            withdrawn.emplace_back(request, *reason);
+            refused.emplace_back(request, *reason);
     }
-    for (const auto& [request, reason] : withdrawn)
-        reject(*request, reason, {}, now, actions);
+    for (const auto& [request, reason] : refused)
+        reject(*request, reason, m_options.minimumRetryAfter, now, actions);
     using Key = std::tuple<bool, int, TimePoint, RequestHandle>;
     std::vector<std::pair<Key, Request*>> order;
     order.reserve(service.queue.size());
@@ -544,7 +551,7 @@
     Request& request, const PoolQuery& wanted, const PoolChoice& choice, TimePoint now, SteeringActions& actions)
 {
     PERIDOT_ASSERT(!request.runningAt, "a request runs at one server at a time");
-    PERIDOT_ASSERT(request.runs == 0 || request.route->isIdempotent, "a request that is not idempotent may run once");
+    PERIDOT_ASSERT(request.runs == 0 || request.isIdempotent, "a request that is not idempotent may run once");
     ++m_counters.sends;
     m_counters.warmSends += choice.isWarm ? 1 : 0;
     m_counters.spills += choice.isSpill ? 1 : 0;
@@ -561,20 +568,20 @@
     action.request = request.handle;
     action.server = choice.server->id;
     action.address = choice.server->address;
-    if (request.workspace)
-        action.workspace = request.workspace->id;
+    if (request.workspace())
+        action.workspace = request.workspace()->id;
     action.remainingTime = std::max(std::min(request.callerDeadline, request.answerDeadline) - now, Duration { 1'000 });
-    action.isIdempotent = request.route->isIdempotent;
+    action.isIdempotent = request.isIdempotent;
     actions.emplace_back(std::move(action));
     if (!m_log.isEnabled(LogLevel::Info))
         return;
     m_log.write(LogLevel::Info,
         LogLine("send")
             .add("request", request.id)
-            .add("route", request.route->name)
-            .add("workspace", request.workspace ? request.workspace->id : WorkspaceId {})
-            .add("route_homes", joinRegions(wanted.homeRegions))
-            .add("workspace_homes", joinRegions(wanted.workspaceHomeRegions))
+            .add("route", request.route().name)
+            .add("workspace", request.workspace() ? request.workspace()->id : WorkspaceId {})
+            .add("route_homes", joinRegions(wanted.homeRegions[0]))
+            .add("workspace_homes", joinRegions(wanted.homeRegions[1]))
             .add("service", choice.server->service)
             .add("object", request.object.value_or(0))
             .add("server", choice.server->id)
@@ -586,7 +593,7 @@
             .add("choice", choice.orderIndex)
             .add("warm", choice.isWarm)
             .add("queue", request.service->queue.size())
-            .add("version", request.routes->version()));
+            .add("version", request.current.routes->version()));
 }
 
 void TrafficSteering::recordSendResult(Request& request, const SendReport& report, TimePoint now)
@@ -615,7 +622,7 @@
 
 void TrafficSteering::updateWorkTimes(Request& request, Duration latency, std::size_t responseBytes)
 {
-    auto& times = m_workTimes.try_emplace(request.route->name, request.route->targetLatency).first->second;
+    auto& times = m_workTimes.try_emplace(request.route().name, request.route().targetLatency).first->second;
     // Cold work takes about three times as long as warm work, so their geometric mean separates them.
     const bool wasWarm = !request.object || static_cast<double>(latency.count()) < std::sqrt(times.warm * times.cold);
     if (request.object)
@@ -656,9 +663,8 @@
 
 void TrafficSteering::retryOrEnd(Request& request, const SendReport& report, TimePoint now, SteeringActions& actions)
 {
-    const auto withdrawn = followConfiguration(request);
-    const bool mayRunAgain = !withdrawn
-        && (request.runs == 0 || (request.route->isIdempotent && request.runs < request.route->maximumAttempts));
+    const auto refusal = followConfiguration(request);
+    const bool mayRunAgain = !refusal && request.mayRunAgain();
     const bool hasTime = now + request.expectedWork < request.answerDeadline;
     const bool needsNoRetryBudget = report.result == DispatchResult::NotSent; // The server has received nothing.
     if (mayRunAgain && hasTime && request.sends < maximumSends
@@ -672,7 +678,7 @@
         return;
     }
     if (request.runs == 0)
-        reject(request, withdrawn.value_or(RejectReason::NotExecuted), m_options.minimumRetryAfter, now, actions);
+        reject(request, refusal.value_or(RejectReason::NotExecuted), m_options.minimumRetryAfter, now, actions);
     else
         reject(request, RejectReason::ServerFailed, {}, now, actions);
 }
@@ -680,14 +686,14 @@
 void TrafficSteering::deliver(Request& request, TimePoint now, SteeringActions& actions)
 {
     ++m_counters.delivered;
-    m_counters.latencies[request.route->targetLatency].add(now - request.arrived);
+    m_counters.latencies[request.route().targetLatency].add(now - request.arrived);
     actions.emplace_back(DeliverResponse { request.handle });
     if (m_log.isEnabled(LogLevel::Info)) {
         m_log.write(LogLevel::Info,
             LogLine("deliver")
                 .add("request", request.id)
                 .add("total_ms", now - request.arrived)
-                .add("target_ms", request.route->targetLatency)
+                .add("target_ms", request.route().targetLatency)
                 .add("sends", request.sends));
     }
     erase(request);
@@ -708,8 +714,7 @@
     if (reportsNotRun && request.runs > 0)
         reason = RejectReason::ServerFailed;
     ++m_counters.rejected[reason];
-    const bool mayComeBack = reason != RejectReason::UnknownRoute && reason != RejectReason::UnknownKey;
-    const bool hasRetryAfter = reportsNotRun && request.runs == 0 && mayComeBack;
+    const bool hasRetryAfter = reportsNotRun && request.runs == 0;
     // Rejections by quota state the time that the gate returned; others state the expected wait, limited to the range
     // that callers respect.
     const auto after = !hasRetryAfter          ? Duration { 0 }
@@ -720,15 +725,15 @@
         m_log.write(LogLevel::Info,
             LogLine("reject")
                 .add("request", request.id)
-                .add("route", request.route->name)
-                .add("workspace", request.workspace ? request.workspace->id : WorkspaceId {})
+                .add("route", request.route().name)
+                .add("workspace", request.workspace() ? request.workspace()->id : WorkspaceId {})
                 .add("reason", enumName(reason))
                 .add("after_ms", now - request.arrived)
                 .add("predicted_ms", request.predictedLatency)
                 .add("sends", request.sends)
                 .add("runs", request.runs)
                 .add("retry_after_ms", after)
-                .add("version", request.routes->version()));
+                .add("version", request.current.routes->version()));
     }
     if (request.countedIn && request.sends == 0)
         m_quotas.refund(*request.countedIn);
--- a/libs/steering/tests/ServicePoolTest.cpp
+++ b/libs/steering/tests/ServicePoolTest.cpp
@@ -244,9 +244,11 @@
         const std::vector<RegionId> homes { zagorje };
         const std::vector<RegionId> elsewhere { slavonija };
         auto it = query(3);
-        it.homeRegions = &homes;
+        it.homeRegions = { &homes };
         CPPUNIT_ASSERT(pool.choose(it, start).server->region == zagorje);
-        it.workspaceHomeRegions = &elsewhere;
+        CPPUNIT_ASSERT(it.allowsAnyRegion());
+        it.homeRegions = { &homes, nullptr, &elsewhere };
+        CPPUNIT_ASSERT(!it.allowsAnyRegion());
         CPPUNIT_ASSERT(!pool.choose(it, start).server);
     }
 
