entry: show that a request may end one server after the other

Cause: the gateway repeats a request on another server when its connection breaks, and accepts it again from the caller, although each server that began to run it has ended.

The test sends such a request eight times to ten servers. Ordinary requests at servers that end, and connections that break at servers that go on listening, pass.

--- /dev/null
+++ b/libs/entry/tests/CrashIsolationTest.cpp
@@ -0,0 +1,259 @@
+// Sends requests that end backend servers, or lose their connections, through a RequestGateway over loopback sockets.
+
+#include "GatewayHarness.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <memory>
+
+using namespace peridot;
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+enum class Behaviour {
+    Answer,
+    EndProcess, // Closes the listening socket and all connections, as the kernel does for a process that has crashed.
+    CloseConnection,
+    ResetConnection,
+};
+
+/** A backend server that reads one request at a time from each connection. */
+class TestServer {
+public:
+    using Decision = std::function<Behaviour(const std::string& path)>;
+
+    TestServer(asio::io_context& context, Decision decide)
+        : m_acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+        , m_port(m_acceptor.local_endpoint().port())
+        , m_decide(std::move(decide))
+    {
+        accept();
+    }
+
+    std::uint16_t port() const { return m_port; }
+    bool hasEnded() const { return !m_acceptor.is_open(); }
+
+private:
+    struct Connection {
+        explicit Connection(asio::ip::tcp::socket it)
+            : socket(std::move(it))
+        {
+        }
+
+        asio::ip::tcp::socket socket;
+        asio::streambuf input;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const error_code& ec, asio::ip::tcp::socket socket) {
+            if (ec)
+                return;
+            m_connections.push_back(std::make_shared<Connection>(std::move(socket)));
+            read(m_connections.back());
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<Connection>& connection)
+    {
+        asio::async_read_until(connection->socket, connection->input, "\r\n\r\n",
+            [this, connection](const error_code& ec, std::size_t headBytes) {
+                if (ec) {
+                    m_connections.remove(connection);
+                    return;
+                }
+                const std::string head(asio::buffers_begin(connection->input.data()),
+                    asio::buffers_begin(connection->input.data()) + static_cast<std::ptrdiff_t>(headBytes));
+                // The tests' bodies come in one segment with the head.
+                connection->input.consume(connection->input.size());
+                const auto start = head.find(' ') + 1;
+                perform(connection, head.substr(start, head.find(' ', start) - start));
+            });
+    }
+
+    void perform(const std::shared_ptr<Connection>& connection, const std::string& path)
+    {
+        switch (m_decide(path)) {
+        case Behaviour::Answer: {
+            const auto body = "from " + path;
+            asio::write(connection->socket,
+                asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body));
+            read(connection);
+            return;
+        }
+        case Behaviour::EndProcess:
+            m_acceptor.close();
+            for (const auto& it : m_connections)
+                it->socket.close();
+            m_connections.clear();
+            return;
+        case Behaviour::ResetConnection:
+            connection->socket.set_option(asio::socket_base::linger(true, 0));
+            [[fallthrough]];
+        case Behaviour::CloseConnection:
+            connection->socket.close();
+            m_connections.remove(connection);
+            return;
+        }
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    const std::uint16_t m_port;
+    const Decision m_decide;
+    std::list<std::shared_ptr<Connection>> m_connections;
+};
+
+SteeringOptions optionsWithRetries()
+{
+    SteeringOptions options { RegionId("jadran"), {} };
+    options.bounds.retrySlack = 100; // The retry budget must not hide that requests are repeated.
+    return options;
+}
+
+/** A caller, a gateway and ten backend servers. Each request may run at two servers. */
+class CrashHarness : public CallerAndGateway {
+public:
+    CrashHarness()
+        : CallerAndGateway(optionsWithRetries())
+    {
+        for (int i = 0; i < 10; ++i) {
+            servers.push_back(std::make_unique<TestServer>(context, [this](const std::string& path) {
+                ++arrivals[path];
+                return decide(path);
+            }));
+        }
+        setRoute(true, 2);
+        listServers();
+    }
+
+    std::size_t endedServers() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(servers.begin(), servers.end(), [](const auto& it) { return it->hasEnded(); }));
+    }
+
+    /** Lists the servers that have not ended, as the platform does after their health checks have failed. */
+    void listServers()
+    {
+        std::vector<std::uint16_t> ports;
+        for (const auto& server : servers) {
+            if (!server->hasEnded())
+                ports.push_back(server->port());
+        }
+        setServers(ports);
+    }
+
+    /** Sends a request and returns all that the caller has received as the answer. */
+    std::string exchange(const std::string& path, const std::string& body = {})
+    {
+        received.clear();
+        send(path, body);
+        CPPUNIT_ASSERT(runUntil([&] {
+            const auto end = received.find("\r\n\r\n");
+            return end != std::string::npos && received.size() > end + 4;
+        }));
+        listServers();
+        return received;
+    }
+
+    std::function<Behaviour(const std::string& path)> decide = [](const std::string&) { return Behaviour::Answer; };
+    std::map<std::string, int> arrivals; // Requests that servers have read, by their path.
+    std::vector<std::unique_ptr<TestServer>> servers;
+};
+
+bool hasStatus(const std::string& answer, int status)
+{
+    return answer.starts_with("HTTP/1.1 " + std::to_string(status) + " ");
+}
+
+}
+
+class CrashIsolationTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(CrashIsolationTest);
+    CPPUNIT_TEST(requestThatEndsServersIsIsolated);
+    CPPUNIT_TEST(requestsWhoseRepeatsSucceedAreNotIsolated);
+    CPPUNIT_TEST(lostConnectionsDoNotIsolateRequests);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** A caller repeats a request that ends each server that begins to run it. It must not end one server after the
+     *  other: after it has ended three servers, at most three repeats may reach servers (rule BUDGET). */
+    void requestThatEndsServersIsIsolated()
+    {
+        CrashHarness harness;
+        int arrivalsAtThirdEnd = 0;
+        harness.decide = [&](const std::string& path) {
+            if (path != "/crash")
+                return Behaviour::Answer;
+            if (harness.endedServers() == 2)
+                arrivalsAtThirdEnd = harness.arrivals["/crash"];
+            return Behaviour::EndProcess;
+        };
+        std::string answer;
+        for (int i = 0; i < 8; ++i) {
+            answer = harness.exchange("/crash");
+            CPPUNIT_ASSERT_MESSAGE(answer, hasStatus(answer, 503));
+        }
+        CPPUNIT_ASSERT(harness.endedServers() >= 3);
+        const auto repeats = harness.arrivals["/crash"] - arrivalsAtThirdEnd;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(repeats) + " repeats reached servers after three had ended, "
+                + std::to_string(harness.endedServers()) + " of 10 servers ended",
+            repeats <= 3);
+        // Not because no server is left.
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("ends_servers"));
+        CPPUNIT_ASSERT(hasStatus(harness.exchange("/other"), 200));
+    }
+
+    /** An ordinary request may be at servers that end for other reasons, here five times. Its repeats succeed, so it
+     *  must not be isolated. */
+    void requestsWhoseRepeatsSucceedAreNotIsolated()
+    {
+        CrashHarness harness;
+        bool endsNext = false;
+        harness.decide = [&](const std::string&) {
+            return std::exchange(endsNext, false) ? Behaviour::EndProcess : Behaviour::Answer;
+        };
+        for (int i = 0; i < 5; ++i) {
+            endsNext = true;
+            const auto answer = harness.exchange("/ordinary");
+            CPPUNIT_ASSERT_MESSAGE(answer, hasStatus(answer, 200));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 5 }, harness.endedServers());
+        CPPUNIT_ASSERT_EQUAL(10, harness.arrivals["/ordinary"]);
+    }
+
+    /** A connection that breaks is no sign that the server has ended, as long as the server goes on listening. Requests
+     *  must not be isolated then, however often their connections break. */
+    void lostConnectionsDoNotIsolateRequests()
+    {
+        CrashHarness harness;
+        bool breaks = true;
+        harness.decide = [&](const std::string&) {
+            if (!breaks)
+                return Behaviour::Answer;
+            return harness.arrivals["/lost"] % 2 == 0 ? Behaviour::CloseConnection : Behaviour::ResetConnection;
+        };
+        for (int i = 0; i < 12; ++i) {
+            const auto arrivals = harness.arrivals["/lost"];
+            const auto answer = harness.exchange("/lost");
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("server_failed"));
+            CPPUNIT_ASSERT(harness.arrivals["/lost"] > arrivals);
+        }
+        breaks = false;
+        const auto answer = harness.exchange("/lost");
+        CPPUNIT_ASSERT_MESSAGE(answer, hasStatus(answer, 200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, harness.endedServers());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashIsolationTest);
--- /dev/null
+++ b/libs/entry/tests/GatewayHarness.h
@@ -0,0 +1,136 @@
+// A caller and a gateway that are connected over loopback sockets, for the tests of the gateway.
+
+#pragma once
+
+#include "entry/RequestGateway.h"
+
+#include "base/SteadyTime.h"
+
+#include <boost/asio/write.hpp>
+
+#include <cppunit/TestAssert.h>
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace peridot {
+
+/** Uses the request's path as its id and its object. Status 503 of a server means that it shed the request. */
+class TestProtocol final : public CallerProtocol {
+public:
+    tl::expected<CallerRequest, HttpResponse> read(const HttpRequest& request) const override
+    {
+        const std::string path(request.target());
+        return CallerRequest { path, "a", path, {}, path, Duration { std::chrono::milliseconds { 800 } } };
+    }
+    HttpRequest requestToServer(const HttpRequest& request, const SendToServer&) const override { return request; }
+    ResponseVerdict check(const HttpResponse&, const std::string&, bool) const override
+    {
+        return ResponseVerdict::Accept;
+    }
+    ServerResponseInfo inspectResponse(const HttpResponse& response) const override
+    {
+        return { response.result_int() == 503 ? DispatchResult::Shed : DispatchResult::Succeeded, {} };
+    }
+    HttpResponse responseToCaller(HttpResponse response) const override { return response; }
+    HttpResponse rejection(const RejectRequest& reject) const override
+    {
+        HttpResponse response(boost::beast::http::status::service_unavailable, 11);
+        response.body() = std::string(enumName(reject.reason));
+        response.prepare_payload();
+        return response;
+    }
+};
+
+/** A caller and a gateway with one route. The context runs in runUntil() only. */
+class CallerAndGateway {
+public:
+    explicit CallerAndGateway(const SteeringOptions& options = { RegionId("jadran"), {} })
+        : steering(options, 1, log)
+        , connections(context, {})
+        , gateway(context, steering, protocol, connections, log)
+        , callerServer(context, {}, 100, [this](const auto& exchange) { gateway.handle(exchange); })
+        , callerSocket(context)
+    {
+        CPPUNIT_ASSERT(callerServer.listen("127.0.0.1:0"));
+        callerSocket.connect({ boost::asio::ip::make_address("127.0.0.1"), callerServer.port() });
+        callerSocket.non_blocking(true);
+    }
+
+    void setRoute(bool isIdempotent, unsigned maximumAttempts)
+    {
+        RouteTableData data;
+        data.version = 1;
+        data.services = { { ServiceId("salonik"), "/health", 100, {}, 0 } };
+        Route route;
+        route.name = "r";
+        route.host = "a";
+        route.pathPrefix = "/";
+        route.services = { { ServiceId("salonik"), 1 } };
+        route.timeout = std::chrono::seconds { 1 };
+        route.targetLatency = std::chrono::milliseconds { 500 };
+        route.isIdempotent = isIdempotent;
+        route.maximumAttempts = maximumAttempts;
+        data.routes = { route };
+        steering.setRoutes(*RouteTable::create(data));
+    }
+
+    /** Lists a server for each port. The port determines the id of the server. */
+    void setServers(const std::vector<std::uint16_t>& ports)
+    {
+        std::vector<ListedServer> servers;
+        for (const auto port : ports) {
+            ListedServer server;
+            server.id = BackendServerId("i-" + std::to_string(port));
+            server.service = ServiceId("salonik");
+            server.address = "127.0.0.1:" + std::to_string(port);
+            server.region = RegionId("jadran");
+            server.slots = 4;
+            servers.push_back(server);
+        }
+        steering.setServers(servers, steadyNow());
+    }
+
+    void send(const std::string& path, const std::string& body = {})
+    {
+        const auto length = body.empty() ? std::string() : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        boost::asio::write(callerSocket,
+            boost::asio::buffer(
+                (body.empty() ? "GET " : "POST ") + path + " HTTP/1.1\r\nHost: a\r\n" + length + "\r\n" + body));
+    }
+
+    /** Runs the context until @p isDone returns true or @p limit has passed. Returns the last value of @p isDone. */
+    bool runUntil(
+        const std::function<bool()>& isDone, std::chrono::milliseconds limit = std::chrono::milliseconds { 2'000 })
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!isDone() && std::chrono::steady_clock::now() < end) {
+            context.restart();
+            context.run_for(std::chrono::milliseconds { 5 });
+            char buf[4096];
+            boost::system::error_code ec;
+            received.append(buf, callerSocket.is_open() ? callerSocket.read_some(boost::asio::buffer(buf), ec) : 0);
+        }
+        return isDone();
+    }
+
+    /** Returns whether the caller receives @p text within the time limit of runUntil(). */
+    bool receives(const std::string& text)
+    {
+        return runUntil([&] { return received.find(text) != std::string::npos; });
+    }
+
+    boost::asio::io_context context;
+    NullEventLog log;
+    TestProtocol protocol;
+    TrafficSteering steering;
+    ServerConnections connections;
+    RequestGateway gateway;
+    HttpServer callerServer; // Accepts the callers' connections of the gateway.
+    boost::asio::ip::tcp::socket callerSocket;
+    std::string received; // All bytes that the caller has read.
+};
+
+}
