steering, entry, platform: isolate requests that end backend servers

Callers saw servers disappear one after the other: a request that crashes each server that runs it came again, at any instance, and every repeat and retry was sent on.

Nothing remembered under which request a server had ended. The fix: - RequestGateway hashes caller, method, host, path and body. When a send ends without a response, ServerConnections tries to connect to the address again; only a refused connection counts as an ended server, so that resets, lost answers and closed idle connections don't. - CrashRegistry counts different servers per request. From three on it is isolated: rejected at once as not run (ends_servers), also from the queue and instead of a retry.

--- a/libs/entry/include/entry/RequestGateway.h
+++ b/libs/entry/include/entry/RequestGateway.h
@@ -12,7 +12,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <memory>
+#include <optional>
+#include <string>
 #include <unordered_map>
 
 namespace peridot {
@@ -38,6 +41,12 @@
         std::string id;
         std::shared_ptr<ClientConnection> connection; // Connection of the running send; null if none is running.
         std::optional<HttpResponse> response; // Response of the last finished send, if there was one.
+        std::uint64_t content = 0; // As in CallerRequest.
+        BackendServerId server; // Server of the last send, and its address.
+        std::string address;
+        // Whether one of the sends has ended with a response of a server that ran the request. A check whether a server
+        // has ended may have its result after that, and after the request was answered.
+        std::shared_ptr<bool> hasResponse = std::make_shared<bool>(false);
     };
 
     void perform(const SteeringActions&);
@@ -46,6 +55,9 @@
     void perform(const DeliverResponse&);
     void perform(const RejectRequest&);
     void sendFinished(RequestHandle, const std::shared_ptr<ClientConnection>&, ExchangeResult);
+    /** Reports to TrafficSteering if the server of the request's last send, which ended without a response, has ended.
+     */
+    void checkServerEnded(const OpenRequest&);
     /** Passes the report to TrafficSteering and performs the actions that it returns. */
     void report(RequestHandle, const SendReport&);
     void answer(RequestHandle, HttpResponse);
@@ -60,6 +72,7 @@
     std::unordered_map<RequestHandle, OpenRequest> m_requests;
     RequestHandle m_lastHandle = 0;
     bool m_rejectsNewRequests = false;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 }
--- a/libs/entry/include/entry/ServerConnections.h
+++ b/libs/entry/include/entry/ServerConnections.h
@@ -7,9 +7,13 @@
 #include "steering/ListedServer.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace peridot {
@@ -23,6 +27,9 @@
     // Upper bound on the idle time of a connection that is reused for a non-idempotent request. Such a request is not
     // repeated if the connection breaks.
     Duration maximumSafeIdleTime = std::chrono::seconds { 3 };
+    // Time within which a host refuses a connection to the port of a process that has ended. Round trips between
+    // regions take up to about 100 ms.
+    Duration endCheckTimeout = std::chrono::milliseconds { 300 };
 };
 
 /** Not thread-safe. */
@@ -43,7 +50,12 @@
     /** Reports that a reused connection broke during a request, after it had been idle for @p idleTime. Lowers the idle
      *  time up to which connections are reused for non-idempotent requests. */
     void onIdleConnectionBroken(Duration idleTime);
-    /** Number of open and connecting connections to all servers. */
+    /** Finds out whether the process that listened on @p address has ended, by a connection that is closed at once.
+     * Only a refused connection counts as ended, because a connection that breaks or takes long may have other reasons.
+     * The handler is called later, unless this object is destroyed before. Checks of one address that is being checked
+     *  share the result. */
+    void checkEnded(const std::string& address, std::function<void(bool hasEnded)> onResult);
+    /** Number of open and connecting connections to all servers, without those of checkEnded(). */
     std::size_t count() const noexcept;
 
 private:
@@ -53,6 +65,19 @@
         std::vector<std::shared_ptr<ClientConnection>> idle; // In the order in which they became idle, the latest last.
     };
 
+    struct EndCheck {
+        explicit EndCheck(boost::asio::io_context& context)
+            : socket(context)
+            , timer(context)
+        {
+        }
+
+        boost::asio::ip::tcp::socket socket;
+        boost::asio::steady_timer timer;
+        std::vector<std::function<void(bool)>> handlers;
+    };
+
+    void endCheckFinished(const std::string& address, const std::shared_ptr<EndCheck>&, bool hasEnded);
     /** Idle time up to which the connection may be reused for a request of this kind. */
     Duration maximumIdleTime(const ClientConnection&, bool isIdempotent) const;
     std::shared_ptr<ClientConnection> open(const BackendServerId&, Server&);
@@ -61,6 +86,7 @@
     const ServerConnectionsOptions m_options;
     std::size_t m_limit = 32;
     std::map<BackendServerId, Server> m_servers;
+    std::map<std::string, std::shared_ptr<EndCheck>> m_endChecks; // Running checks by address.
     // Maximum idle time of a connection that is reused for a non-idempotent request. It is lowered when servers close
     // idle connections early, and grows again with each sweep().
     Duration m_safeIdleTime;
--- a/libs/entry/include/entry/TableFollower.h
+++ b/libs/entry/include/entry/TableFollower.h
@@ -26,6 +26,8 @@
     Duration wait { 0 }; // Maximum time that the store or a peer may delay its response while there is no change.
     // Time from the response of the store to the next call, also if more changes are pending.
     Duration storeCallPause { 0 };
+    // Upper bound on the wait of a pull. A pull is open for so long when its reader has stopped.
+    Duration maximumPullWait = std::chrono::seconds { 1 };
     Duration pullPause = std::chrono::milliseconds { 100 }; // Time from the response of a peer to the next pull.
     // When a call of the store exceeds its wait by this time, this instance discards its history of the table, so that
     // peers do not rely on rows that no recent read has confirmed.
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -5,7 +5,11 @@
 
 #include <boost/asio/post.hpp>
 
+#include <xxhash.h>
+
+#include <array>
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 namespace peridot {
@@ -19,6 +23,19 @@
     // Short, because another instance can take the request at once.
     constexpr Duration leavingRetryAfter = std::chrono::milliseconds { 20 };
 
+    /** Hash of what makes a request the same one again. It has no seed, because all instances must compute the same
+     *  one. */
+    std::uint64_t contentOf(const HttpRequest& request, const CallerRequest& caller)
+    {
+        const auto hash = [](std::string_view part) { return XXH3_64bits(part.data(), part.size()); };
+        const auto method = request.method_string();
+        // Each part is hashed alone, so that a part's end can't be taken for the start of the next one.
+        const std::array<std::uint64_t, 5> parts { hash({ method.data(), method.size() }), hash(caller.host),
+            hash(caller.path), hash(caller.key), hash(request.body()) };
+        const std::uint64_t content = XXH3_64bits(parts.data(), sizeof parts);
+        return content == 0 ? 1 : content; // 0 stands for unknown.
+    }
+
 }
 
 RequestGateway::RequestGateway(asio::io_context& context, TrafficSteering& steering, const CallerProtocol& protocol,
@@ -35,6 +52,7 @@
 
 RequestGateway::~RequestGateway()
 {
+    *m_isAlive = false;
     for (auto& [handle, request] : m_requests) {
         request.exchange->onCallerGone = nullptr;
         if (request.connection)
@@ -68,8 +86,13 @@
         exchange->respond(m_protocol.rejection({ 0, RejectReason::Leaving, leavingRetryAfter }));
         return;
     }
+    read->content = contentOf(exchange->request, *read);
     const auto handle = ++m_lastHandle;
-    m_requests.emplace(handle, OpenRequest { exchange, read->id, {}, {} });
+    OpenRequest opened;
+    opened.exchange = exchange;
+    opened.id = read->id;
+    opened.content = read->content;
+    m_requests.emplace(handle, std::move(opened));
     exchange->onCallerGone = [this, handle] {
         const auto it = m_requests.find(handle);
         if (it == m_requests.end())
@@ -102,6 +125,8 @@
         return;
     }
     request.connection = connection;
+    request.server = send.server;
+    request.address = send.address;
     connection->send(
         m_protocol.requestToServer(request.exchange->request, send),
         [this, id = request.id, &connection = *connection](
@@ -121,6 +146,8 @@
     sendReport.connectTime = connection->takeConnectTime();
     if (result) {
         const auto info = m_protocol.inspectResponse(*result);
+        if (info.result == DispatchResult::Succeeded || info.result == DispatchResult::ServerError)
+            *it->second.hasResponse = true;
         sendReport.result = info.result;
         sendReport.load = info.load;
         sendReport.responseBytes = result->body().size();
@@ -133,10 +160,23 @@
         sendReport.detail = error.message;
         if (error.wasSent && error.wasReused && !error.isMalformed)
             m_connections.onIdleConnectionBroken(error.idleTime);
+        if (error.wasSent && !error.isMalformed)
+            checkServerEnded(it->second);
     }
     report(handle, sendReport);
 }
 
+void RequestGateway::checkServerEnded(const OpenRequest& request)
+{
+    m_connections.checkEnded(request.address,
+        [this, isAlive = m_isAlive, report = CrashReport { request.content, request.server },
+            hasResponse = request.hasResponse](bool hasEnded) {
+            // The response has removed all reports of the request; a late one must not follow it.
+            if (*isAlive && hasEnded && !*hasResponse)
+                m_steering.serverEnded(report, steadyNow());
+        });
+}
+
 void RequestGateway::report(RequestHandle handle, const SendReport& sendReport)
 {
     perform(m_steering.finished(handle, sendReport, steadyNow()));
--- a/libs/entry/src/ServerConnections.cpp
+++ b/libs/entry/src/ServerConnections.cpp
@@ -2,10 +2,16 @@
 
 #include "http/HttpServer.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
+#include <utility>
 
 namespace peridot {
 
+namespace asio = boost::asio;
+using boost::system::error_code;
+
 namespace {
 
     constexpr Duration minimumSafeIdleTime = std::chrono::milliseconds { 200 };
@@ -28,6 +34,11 @@
         for (const auto& connection : server.idle)
             connection->close();
     }
+    for (const auto& [address, check] : m_endChecks) {
+        error_code ec;
+        check->socket.close(ec); // The descriptor is released whatever the result.
+        check->timer.cancel();
+    }
 }
 
 Duration ServerConnections::maximumIdleTime(const ClientConnection& connection, bool isIdempotent) const
@@ -111,6 +122,48 @@
     m_safeIdleTime = std::clamp(idleTime / 2, minimumSafeIdleTime, m_safeIdleTime);
 }
 
+void ServerConnections::checkEnded(const std::string& address, std::function<void(bool)> onResult)
+{
+    auto& check = m_endChecks[address];
+    if (check) {
+        check->handlers.push_back(std::move(onResult));
+        return;
+    }
+    check = std::make_shared<EndCheck>(m_context);
+    check->handlers.push_back(std::move(onResult));
+    const auto finish = [this, address, check, isAlive = m_isAlive](bool hasEnded) {
+        if (*isAlive)
+            endCheckFinished(address, check, hasEnded);
+    };
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        asio::post(m_context, [finish] { finish(false); });
+        return;
+    }
+    check->timer.expires_after(m_options.endCheckTimeout);
+    check->timer.async_wait([finish](const error_code& ec) {
+        if (!ec)
+            finish(false);
+    });
+    check->socket.async_connect(
+        *endpoint, [finish](const error_code& ec) { finish(ec == asio::error::connection_refused); });
+}
+
+void ServerConnections::endCheckFinished(
+    const std::string& address, const std::shared_ptr<EndCheck>& check, bool hasEnded)
+{
+    // Timer and connection may both be due; the later one finds no check, or that of a later call.
+    const auto it = m_endChecks.find(address);
+    if (it == m_endChecks.end() || it->second != check)
+        return;
+    m_endChecks.erase(it);
+    error_code ec;
+    check->socket.close(ec); // The descriptor is released whatever the result.
+    check->timer.cancel();
+    for (const auto& onResult : std::exchange(check->handlers, {}))
+        onResult(hasEnded);
+}
+
 std::size_t ServerConnections::count() const noexcept
 {
     std::size_t count = 0;
--- a/libs/entry/src/TableFollower.cpp
+++ b/libs/entry/src/TableFollower.cpp
@@ -127,8 +127,9 @@
 
 void TableFollower::pullChanges()
 {
-    const auto operation = beginOperation("pull", wait());
-    m_relay.pull(m_options.table, m_version, wait(), steadyNow(),
+    const auto pullWait = std::min(wait(), m_options.maximumPullWait);
+    const auto operation = beginOperation("pull", pullWait);
+    m_relay.pull(m_options.table, m_version, pullWait, steadyNow(),
         [this, operation, isAlive = m_isAlive](const TableRelay::PullResult& changes) {
             if (!*isAlive || !isCurrent(operation))
                 return;
--- a/libs/entry/tests/CrashIsolationTest.cpp
+++ b/libs/entry/tests/CrashIsolationTest.cpp
@@ -12,6 +12,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 
 using namespace peridot;
 namespace asio = boost::asio;
@@ -24,6 +25,7 @@
     EndProcess, // Closes the listening socket and all connections, as the kernel does for a process that has crashed.
     CloseConnection,
     ResetConnection,
+    StopAccepting, // Closes the connection. The listening socket stays open, and its queue is full.
 };
 
 /** A backend server that reads one request at a time from each connection. */
@@ -33,6 +35,7 @@
 
     TestServer(asio::io_context& context, Decision decide)
         : m_acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+        , m_queued(context)
         , m_port(m_acceptor.local_endpoint().port())
         , m_decide(std::move(decide))
     {
@@ -41,6 +44,8 @@
 
     std::uint16_t port() const { return m_port; }
     bool hasEnded() const { return !m_acceptor.is_open(); }
+    bool isQueueFull() const { return m_queued.is_open(); }
+    void end() { m_acceptor.close(); }
 
 private:
     struct Connection {
@@ -97,6 +102,14 @@
                 it->socket.close();
             m_connections.clear();
             return;
+        case Behaviour::StopAccepting:
+            m_acceptor.cancel();
+            m_acceptor.listen(0);
+            // Linux admits one connection more than the backlog to the queue.
+            m_queued.connect(m_acceptor.local_endpoint());
+            connection->socket.close();
+            m_connections.remove(connection);
+            return;
         case Behaviour::ResetConnection:
             connection->socket.set_option(asio::socket_base::linger(true, 0));
             [[fallthrough]];
@@ -108,11 +121,20 @@
     }
 
     asio::ip::tcp::acceptor m_acceptor;
+    asio::ip::tcp::socket m_queued; // Fills the queue of the acceptor.
     const std::uint16_t m_port;
     const Decision m_decide;
     std::list<std::shared_ptr<Connection>> m_connections;
 };
 
+/** Options with which a check lasts until the kernel has repeated its connection attempt, which it does after 1 s. */
+ServerConnectionsOptions optionsWithLongChecks()
+{
+    ServerConnectionsOptions options;
+    options.endCheckTimeout = std::chrono::seconds { 4 };
+    return options;
+}
+
 SteeringOptions optionsWithRetries()
 {
     SteeringOptions options { RegionId("jadran"), {} };
@@ -123,8 +145,8 @@
 /** A caller, a gateway and ten backend servers. Each request may run at two servers. */
 class CrashHarness : public CallerAndGateway {
 public:
-    CrashHarness()
-        : CallerAndGateway(optionsWithRetries())
+    explicit CrashHarness(ServerConnectionsOptions connectionsOptions = {})
+        : CallerAndGateway(optionsWithRetries(), connectionsOptions)
     {
         for (int i = 0; i < 10; ++i) {
             servers.push_back(std::make_unique<TestServer>(context, [this](const std::string& path) {
@@ -181,7 +203,9 @@
 class CrashIsolationTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(CrashIsolationTest);
     CPPUNIT_TEST(requestThatEndsServersIsIsolated);
+    CPPUNIT_TEST(otherRequestsOfTheCallerAreNotIsolated);
     CPPUNIT_TEST(requestsWhoseRepeatsSucceedAreNotIsolated);
+    CPPUNIT_TEST(lateResultOfCheckIsDroppedAfterResponse);
     CPPUNIT_TEST(lostConnectionsDoNotIsolateRequests);
     CPPUNIT_TEST_SUITE_END();
 
@@ -214,6 +238,22 @@
         CPPUNIT_ASSERT(hasStatus(harness.exchange("/other"), 200));
     }
 
+    /** Requests with another method, query or body than the isolated one must still reach servers. */
+    void otherRequestsOfTheCallerAreNotIsolated()
+    {
+        CrashHarness harness;
+        bool endsServers = true;
+        harness.decide = [&](const std::string&) { return endsServers ? Behaviour::EndProcess : Behaviour::Answer; };
+        for (int i = 0; i < 3; ++i)
+            harness.exchange("/crash?n=1", "first");
+        endsServers = false;
+        const auto answer = harness.exchange("/crash?n=1", "first");
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("ends_servers"));
+        CPPUNIT_ASSERT(hasStatus(harness.exchange("/crash?n=1", "second"), 200));
+        CPPUNIT_ASSERT(hasStatus(harness.exchange("/crash?n=2", "first"), 200));
+        CPPUNIT_ASSERT(hasStatus(harness.exchange("/crash?n=1"), 200));
+    }
+
     /** An ordinary request may be at servers that end for other reasons, here five times. Its repeats succeed, so it
      *  must not be isolated. */
     void requestsWhoseRepeatsSucceedAreNotIsolated()
@@ -232,6 +272,32 @@
         CPPUNIT_ASSERT_EQUAL(10, harness.arrivals["/ordinary"]);
     }
 
+    /** The response of a repeat may come before it is known that the first server has ended, for example if that one is
+     *  in another region. A report recorded after the response would count against the request until its next run. */
+    void lateResultOfCheckIsDroppedAfterResponse()
+    {
+        CrashHarness harness(optionsWithLongChecks());
+        TestServer* first = nullptr;
+        harness.decide = [&](const std::string&) {
+            return harness.arrivals["/ordinary"] == 1 ? Behaviour::StopAccepting : Behaviour::Answer;
+        };
+        const auto answer = harness.exchange("/ordinary");
+        CPPUNIT_ASSERT_MESSAGE(answer, hasStatus(answer, 200));
+        for (const auto& server : harness.servers) {
+            if (server->isQueueFull())
+                first = server.get();
+        }
+        CPPUNIT_ASSERT(first);
+        first->end();
+        // Shares the check that runs since the connection broke.
+        std::optional<bool> result;
+        harness.connections.checkEnded(
+            "127.0.0.1:" + std::to_string(first->port()), [&](bool hasEnded) { result = hasEnded; });
+        CPPUNIT_ASSERT(harness.runUntil([&] { return result.has_value(); }, std::chrono::milliseconds { 5'000 }));
+        CPPUNIT_ASSERT(result == true);
+        CPPUNIT_ASSERT(harness.steering.crashes().takeChanges(steadyNow()).added.empty());
+    }
+
     /** A connection that breaks is no sign that the server has ended, as long as the server goes on listening. Requests
      *  must not be isolated then, however often their connections break. */
     void lostConnectionsDoNotIsolateRequests()
--- a/libs/entry/tests/GatewayHarness.h
+++ b/libs/entry/tests/GatewayHarness.h
@@ -47,9 +47,10 @@
 /** A caller and a gateway with one route. The context runs in runUntil() only. */
 class CallerAndGateway {
 public:
-    explicit CallerAndGateway(const SteeringOptions& options = { RegionId("jadran"), {} })
+    explicit CallerAndGateway(
+        const SteeringOptions& options = { RegionId("jadran"), {} }, ServerConnectionsOptions connectionsOptions = {})
         : steering(options, 1, log)
-        , connections(context, {})
+        , connections(context, connectionsOptions)
         , gateway(context, steering, protocol, connections, log)
         , callerServer(context, {}, 100, [this](const auto& exchange) { gateway.handle(exchange); })
         , callerSocket(context)
--- /dev/null
+++ b/libs/entry/tests/ServerConnectionsTest.cpp
@@ -0,0 +1,135 @@
+// Checks over loopback sockets whether the process behind an address has ended.
+
+#include "entry/ServerConnections.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace peridot;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+const tcp::endpoint anyPort { asio::ip::make_address("127.0.0.1"), 0 };
+
+std::string addressOf(const tcp::acceptor& acceptor)
+{
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+/** Runs checkEnded() and returns its result; nothing if there is none within two seconds. */
+std::optional<bool> resultOf(asio::io_context& context, ServerConnections& connections, const std::string& address)
+{
+    std::optional<bool> result;
+    connections.checkEnded(address, [&](bool hasEnded) { result = hasEnded; });
+    const auto end = std::chrono::steady_clock::now() + 2s;
+    while (!result && std::chrono::steady_clock::now() < end) {
+        context.restart();
+        context.run_for(5ms);
+    }
+    return result;
+}
+
+}
+
+class ServerConnectionsTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ServerConnectionsTest);
+    CPPUNIT_TEST(refusedConnectionMeansEnded);
+    CPPUNIT_TEST(serverThatListensHasNotEnded);
+    CPPUNIT_TEST(serverThatDoesNotRespondHasNotEnded);
+    CPPUNIT_TEST(checksOfOneAddressShareOneConnection);
+    CPPUNIT_TEST(noResultAfterDestruction);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void refusedConnectionMeansEnded()
+    {
+        asio::io_context context;
+        ServerConnections connections(context, {});
+        tcp::acceptor acceptor(context, anyPort);
+        const auto address = addressOf(acceptor);
+        acceptor.close();
+        CPPUNIT_ASSERT(resultOf(context, connections, address) == true);
+        // The check has ended, so a new one begins.
+        CPPUNIT_ASSERT(resultOf(context, connections, address) == true);
+        CPPUNIT_ASSERT(resultOf(context, connections, "no address") == false);
+    }
+
+    /** The connection of the check must not stay open, because it would take up one of the server's. */
+    void serverThatListensHasNotEnded()
+    {
+        asio::io_context context;
+        ServerConnections connections(context, {});
+        tcp::acceptor acceptor(context, anyPort);
+        CPPUNIT_ASSERT(resultOf(context, connections, addressOf(acceptor)) == false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, connections.count());
+        auto accepted = acceptor.accept();
+        char byte = 0;
+        boost::system::error_code ec;
+        accepted.read_some(asio::buffer(&byte, 1), ec);
+        CPPUNIT_ASSERT(ec == asio::error::eof);
+    }
+
+    /** A paused process answers nothing once its queue of connections is full. It must not count as ended. */
+    void serverThatDoesNotRespondHasNotEnded()
+    {
+        asio::io_context context;
+        ServerConnections connections(context, {});
+        tcp::acceptor acceptor(context);
+        acceptor.open(tcp::v4());
+        acceptor.bind(anyPort);
+        acceptor.listen(0);
+        // Linux admits one connection more than the backlog to the queue.
+        tcp::socket queued(context);
+        queued.connect(acceptor.local_endpoint());
+        const auto start = std::chrono::steady_clock::now();
+        CPPUNIT_ASSERT(resultOf(context, connections, addressOf(acceptor)) == false);
+        const auto passed = std::chrono::steady_clock::now() - start;
+        CPPUNIT_ASSERT(passed >= 290ms);
+    }
+
+    /** Many requests may be at a server that ends. They must not open a connection each. */
+    void checksOfOneAddressShareOneConnection()
+    {
+        asio::io_context context;
+        ServerConnections connections(context, {});
+        tcp::acceptor acceptor(context, anyPort);
+        int results = 0;
+        for (int i = 0; i < 10; ++i)
+            connections.checkEnded(addressOf(acceptor), [&](bool) { ++results; });
+        CPPUNIT_ASSERT(resultOf(context, connections, addressOf(acceptor)) == false);
+        CPPUNIT_ASSERT_EQUAL(10, results);
+        acceptor.non_blocking(true);
+        boost::system::error_code ec;
+        const auto first = acceptor.accept(ec);
+        CPPUNIT_ASSERT(!ec);
+        const auto second = acceptor.accept(ec);
+        CPPUNIT_ASSERT(ec == asio::error::would_block);
+    }
+
+    void noResultAfterDestruction()
+    {
+        asio::io_context context;
+        tcp::acceptor acceptor(context, anyPort);
+        const auto address = addressOf(acceptor);
+        acceptor.close();
+        int results = 0;
+        {
+            ServerConnections connections(context, {});
+            connections.checkEnded(address, [&](bool) { ++results; });
+            connections.checkEnded("no address", [&](bool) { ++results; });
+        }
+        context.run_for(400ms);
+        CPPUNIT_ASSERT_EQUAL(0, results);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerConnectionsTest);
--- /dev/null
+++ b/libs/steering/include/steering/CrashRegistry.h
@@ -0,0 +1,75 @@
+// Remembers requests during which backend servers ended, and isolates those that ended too many of them.
+
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace peridot {
+
+/** A backend server ended while a request ran there. */
+struct CrashReport {
+    std::uint64_t content = 0; // Hash of the request's caller, method, path and body.
+    BackendServerId server;
+
+    auto operator<=>(const CrashReport&) const = default;
+};
+
+/** Changes for the other instances. */
+struct CrashReportChanges {
+    std::vector<CrashReport> added;
+    std::vector<CrashReport> removed;
+};
+
+struct CrashRegistryOptions {
+    // Any request may run at a server that ends for another reason. It is rarely there three times without a response.
+    std::size_t isolationThreshold = 3;
+    // Reports are kept for a random time within these bounds, so that not all instances remove them at once.
+    Duration minimumRetention = std::chrono::minutes { 30 };
+    Duration maximumRetention = std::chrono::minutes { 60 };
+    std::size_t maximumRequests = 10'000; // Beyond it, the one without a report for the longest time is forgotten.
+};
+
+/**
+ * A request is isolated while reports of at least CrashRegistryOptions::isolationThreshold different servers are known
+ * and none of its runs has ended with a response since. Not thread-safe.
+ */
+class CrashRegistry {
+public:
+    CrashRegistry(CrashRegistryOptions, std::uint64_t seed);
+
+    /** Records a crash that this instance has observed. */
+    void observe(const CrashReport&, TimePoint now);
+    /** Removes all reports of a request, because one of its runs has ended with a response. */
+    void completed(std::uint64_t content);
+    /** Applies a change that another instance has made. */
+    void add(const CrashReport&, TimePoint now);
+    void remove(const CrashReport&);
+
+    bool isIsolated(std::uint64_t content) const;
+    std::size_t isolatedRequests() const noexcept;
+    /** Removes reports whose retention has ended, and returns all changes by this instance since the last call. A
+     * report that was removed and observed again is in both lists. */
+    CrashReportChanges takeChanges(TimePoint now);
+
+private:
+    struct Entry {
+        std::map<BackendServerId, TimePoint> servers; // With the end of the report's retention.
+        TimePoint newest {};
+    };
+
+    bool insert(const CrashReport&, TimePoint now);
+    void limitSize();
+
+    const CrashRegistryOptions m_options;
+    std::mt19937_64 m_random;
+    std::map<std::uint64_t, Entry> m_entries; // By content. No entry is without servers.
+    CrashReportChanges m_changes;
+};
+
+}
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -7,6 +7,7 @@
 #include "base/EventLog.h"
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "steering/CrashRegistry.h"
 #include "steering/KnowledgeGuard.h"
 #include "steering/LateAttemptDetector.h"
 #include "steering/ListedServer.h"
@@ -38,6 +39,8 @@
     std::string key; // API key; empty if the caller sent none.
     std::string object; // Affinity key of the object that the request concerns; empty if there is none.
     std::optional<Duration> remainingTime; // Time that the caller waits for the final answer, if it stated one.
+    // Hash of the caller, the method, the path and the body. A repeat of the request has the same one, at any instance.
+    std::uint64_t content = 0;
 };
 
 enum class RejectReason {
@@ -52,13 +55,14 @@
     ShiftLimited, // The request may run in other regions only, and their share of the requests may not grow faster.
     Expired, // The deadline or timeout passed while the request was not running at a server.
     NoServer, // No server may take the request.
+    EndsServers, // Several servers have ended while they ran this request.
     NotExecuted, // Servers refused the request before running it.
     ServerFailed, // The request may have run.
     TimedOut, // The request may have run or may still be running.
 };
 
 template <>
-inline constexpr EnumNameTable<RejectReason, 14> enumNames<RejectReason> { {
+inline constexpr EnumNameTable<RejectReason, 15> enumNames<RejectReason> { {
     { RejectReason::Starting, "starting" },
     { RejectReason::Unconfirmed, "unconfirmed" },
     { RejectReason::Leaving, "leaving" },
@@ -70,6 +74,7 @@
     { RejectReason::ShiftLimited, "shift_limited" },
     { RejectReason::Expired, "expired" },
     { RejectReason::NoServer, "no_server" },
+    { RejectReason::EndsServers, "ends_servers" },
     { RejectReason::NotExecuted, "not_executed" },
     { RejectReason::ServerFailed, "server_failed" },
     { RejectReason::TimedOut, "timed_out" },
@@ -129,6 +134,7 @@
     ServicePoolOptions pool;
     SteeringBounds bounds {};
     KnowledgeGuardOptions knowledge {};
+    CrashRegistryOptions crashes {};
     Duration retryWindow = std::chrono::seconds { 10 };
     // A request that will miss its target latency is queued only if its expected end lies within this share of its
     // remaining time.
@@ -205,6 +211,11 @@
     /** Slots that the callers of each region would fill. */
     void setOfferedLoad(const ServiceId&, std::map<RegionId, double>);
     QuotaGate& quotas() noexcept { return m_quotas; }
+    /** Requests that end servers. All instances exchange the reports. */
+    CrashRegistry& crashes() noexcept { return m_crashes; }
+    const CrashRegistry& crashes() const noexcept { return m_crashes; }
+    /** Records that a server has ended while a request ran there. */
+    void serverEnded(const CrashReport&, TimePoint now);
     /** Records that an attempt to confirm the routes, servers and evacuations, which began at @p start, has ended. */
     void knowledgeConfirmed(TimePoint start) noexcept { m_knowledge.confirmed(start); }
     const KnowledgeGuard& knowledge() const noexcept { return m_knowledge; }
@@ -246,6 +257,9 @@
      *  both bind, and the request may run again only if both allow it. Returns a reason if the request is not to be
      *  sent any more. */
     std::optional<RejectReason> followConfiguration(Request&) const;
+    /** Returns a reason if the request, which is not running, must not be sent: the configuration in force does not
+     *  admit it, or it ends servers. */
+    std::optional<RejectReason> reasonNotToSend(Request&) const;
     /** Region to which the home regions of the route or the workspace bind the request; null if there are several. */
     static const RegionId* homeRegion(const Request&);
     static bool isLate(const Request&, TimePoint now);
@@ -285,6 +299,7 @@
     std::size_t m_localInstances = 1;
     LateAttemptDetector m_lateAttempts;
     QuotaGate m_quotas;
+    CrashRegistry m_crashes;
     OutflowLimit m_outflow;
     std::unique_ptr<class SplitSelector> m_split;
     std::map<ServiceId, std::unique_ptr<Service>> m_services;
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -5,6 +5,7 @@
 #include "steering/RateEstimate.h"
 #include "steering/SplitSelector.h"
 
+#include <fmt/format.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -87,6 +88,7 @@
     std::string host;
     std::string path;
     std::string key;
+    std::uint64_t content = 0;
     Admission arrival; // By the configuration of the arrival.
     Admission current; // Follows the configuration in force while the request is not running.
     bool isIdempotent = false; // By both configurations.
@@ -147,6 +149,7 @@
     , m_seed(seed)
     , m_knowledge(m_options.knowledge)
     , m_quotas(seed)
+    , m_crashes(m_options.crashes, seed)
     , m_split(std::make_unique<SplitSelector>())
 {
 }
@@ -295,6 +298,7 @@
     it.host = caller.host;
     it.path = caller.path;
     it.key = caller.key;
+    it.content = caller.content;
     it.arrival = it.current = *admission;
     it.isIdempotent = route->isIdempotent;
     it.maximumAttempts = route->maximumAttempts;
@@ -357,6 +361,25 @@
     return std::nullopt;
 }
 
+std::optional<RejectReason> TrafficSteering::reasonNotToSend(Request& request) const
+{
+    if (const auto reason = followConfiguration(request))
+        return reason;
+    if (m_crashes.isIsolated(request.content))
+        return RejectReason::EndsServers;
+    return std::nullopt;
+}
+
+void TrafficSteering::serverEnded(const CrashReport& report, TimePoint now)
+{
+    m_crashes.observe(report, now);
+    m_log.write(LogLevel::Warning,
+        LogLine("server_ended")
+            .add("server", report.server)
+            .add("content", fmt::format("{:016x}", report.content))
+            .add("isolated", m_crashes.isIsolated(report.content)));
+}
+
 const RegionId* TrafficSteering::homeRegion(const Request& request)
 {
     const auto& routeHomes = request.route().homeRegions;
@@ -402,6 +425,10 @@
         reject(request, RejectReason::Unconfirmed, m_options.minimumRetryAfter, now, actions);
         return;
     }
+    if (const auto reason = reasonNotToSend(request)) {
+        reject(request, *reason, {}, now, actions);
+        return;
+    }
     const auto wanted = query(request);
     request.expectedWarmWork = wanted.warmWork;
     const auto choice = service.pool.choose(wanted, now);
@@ -490,7 +517,7 @@
         return;
     std::vector<std::pair<Request*, RejectReason>> refused;
     for (auto* request : service.queue) {
-        if (const auto reason = followConfiguration(*request))
+        if (const auto reason = reasonNotToSend(*request))
             refused.emplace_back(request, *reason);
     }
     for (const auto& [request, reason] : refused)
@@ -616,6 +643,8 @@
         || report.result == DispatchResult::NotSent;
     if (!hasNotRun)
         ++request.runs;
+    if (report.result == DispatchResult::Succeeded || report.result == DispatchResult::ServerError)
+        m_crashes.completed(request.content);
     if (report.result != DispatchResult::Succeeded)
         request.excluded.push_back(server);
 }
@@ -663,7 +692,7 @@
 
 void TrafficSteering::retryOrEnd(Request& request, const SendReport& report, TimePoint now, SteeringActions& actions)
 {
-    const auto refusal = followConfiguration(request);
+    const auto refusal = reasonNotToSend(request);
     const bool mayRunAgain = !refusal && request.mayRunAgain();
     const bool hasTime = now + request.expectedWork < request.answerDeadline;
     const bool needsNoRetryBudget = report.result == DispatchResult::NotSent; // The server has received nothing.
@@ -715,10 +744,11 @@
         reason = RejectReason::ServerFailed;
     ++m_counters.rejected[reason];
     const bool hasRetryAfter = reportsNotRun && request.runs == 0;
-    // Rejections by quota state the time that the gate returned; others state the expected wait, limited to the range
-    // that callers respect.
+    // Rejections by quota state the time that the gate returned, and those of isolated requests the shortest isolation;
+    // others state the expected wait, limited to the range that callers respect.
     const auto after = !hasRetryAfter          ? Duration { 0 }
         : reason == RejectReason::RateExceeded ? std::max(retryAfter, Duration { 1'000 })
+        : reason == RejectReason::EndsServers  ? m_options.crashes.minimumRetention
                                                : boundedRetryAfter(retryAfter, request, now);
     actions.emplace_back(RejectRequest { request.handle, reason, after });
     if (m_log.isEnabled(LogLevel::Info)) {
