--- a/libs/steering/include/steering/RouteTable.h
+++ b/libs/steering/include/steering/RouteTable.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -83,6 +84,8 @@
     /** Returns the route of @p host with the longest path prefix that matches @p path, or null. A query in @p path is
      *  ignored. */
     const Route* find(std::string_view host, std::string_view path) const;
+    /** Regions that are a home of any route of the host. Empty if none of them has homes. */
+    std::set<RegionId> homeRegionsOfHost(std::string_view host) const;
     /** Returns null for an unknown key. */
     const WorkspaceQuota* workspaceOfKey(const std::string& key) const;
     const ServiceDescription* service(const ServiceId&) const;
@@ -96,6 +99,7 @@
     RouteTableData m_data;
     // Indices into m_data, which does not change after create().
     std::unordered_map<std::string, std::vector<std::size_t>> m_routesByHost; // Longest prefix first.
+    std::map<std::string, std::set<RegionId>> m_homesByHost;
     std::map<WorkspaceId, std::size_t> m_workspaces;
     std::map<ServiceId, std::size_t> m_services;
 };
--- a/libs/steering/src/RouteTable.cpp
+++ b/libs/steering/src/RouteTable.cpp
@@ -42,6 +42,8 @@
         }
         route.host = normalisedHost(route.host);
         it.m_routesByHost[route.host].push_back(i);
+        if (!route.homeRegions.empty())
+            it.m_homesByHost[route.host].insert(route.homeRegions.begin(), route.homeRegions.end());
     }
     for (const auto& [key, workspace] : it.m_data.keys) {
         if (!it.m_workspaces.contains(workspace))
@@ -68,6 +70,12 @@
     return nullptr;
 }
 
+std::set<RegionId> RouteTable::homeRegionsOfHost(std::string_view host) const
+{
+    const auto it = m_homesByHost.find(normalisedHost(host));
+    return it == m_homesByHost.end() ? std::set<RegionId> {} : it->second;
+}
+
 const WorkspaceQuota* RouteTable::workspaceOfKey(const std::string& key) const
 {
     const auto it = m_data.keys.find(key);
--- a/libs/steering/tests/RouteTableTest.cpp
+++ b/libs/steering/tests/RouteTableTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(queryIsNoPartOfThePath);
     CPPUNIT_TEST(unknownReferencesAreRejected);
     CPPUNIT_TEST(keysNameTheirWorkspace);
+    CPPUNIT_TEST(hostHasTheHomesOfItsRoutes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,6 +60,18 @@
         CPPUNIT_ASSERT(table->find("CAJ.EXAMPLE", "/x"));
     }
 
+    void hostHasTheHomesOfItsRoutes()
+    {
+        auto homed = data();
+        homed.routes[0].homeRegions = { RegionId("jadran") };
+        homed.routes[1].homeRegions = { RegionId("jadran"), RegionId("zagorje") };
+        const auto table = *RouteTable::create(homed);
+        CPPUNIT_ASSERT((table->homeRegionsOfHost("Plesni.example:80")
+            == std::set<RegionId> { RegionId("jadran"), RegionId("zagorje") }));
+        CPPUNIT_ASSERT(table->homeRegionsOfHost("caj.example").empty());
+        CPPUNIT_ASSERT(table->homeRegionsOfHost("other.example").empty());
+    }
+
     /** A prefix in the query must not select a route. */
     void queryIsNoPartOfThePath()
     {
