entry: check for an ended server after a cut response as well

A server that crashes while it answers leaves a response that breaks off, which counts as malformed, so that no check followed. The check runs after each send that may have reached the server; only a refused connection counts.

The test of other requests covers the method too, and the namespace of the steering fixtures follows the linter.

--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -160,7 +160,7 @@
         sendReport.detail = error.message;
         if (error.wasSent && error.wasReused && !error.isMalformed)
             m_connections.onIdleConnectionBroken(error.idleTime);
-        if (error.wasSent && !error.isMalformed)
+        if (error.wasSent)
             checkServerEnded(it->second);
     }
     report(handle, sendReport);
--- a/libs/entry/tests/CrashIsolationTest.cpp
+++ b/libs/entry/tests/CrashIsolationTest.cpp
@@ -176,10 +176,10 @@
     }
 
     /** Sends a request and returns all that the caller has received as the answer. */
-    std::string exchange(const std::string& path, const std::string& body = {})
+    std::string exchange(const std::string& path, const std::string& body = {}, const std::string& method = "GET")
     {
         received.clear();
-        send(path, body);
+        send(path, body, method);
         CPPUNIT_ASSERT(runUntil([&] {
             const auto end = received.find("\r\n\r\n");
             return end != std::string::npos && received.size() > end + 4;
@@ -245,13 +245,13 @@
         bool endsServers = true;
         harness.decide = [&](const std::string&) { return endsServers ? Behaviour::EndProcess : Behaviour::Answer; };
         for (int i = 0; i < 3; ++i)
-            harness.exchange("/crash?n=1", "first");
+            harness.exchange("/crash?n=1", "first", "PUT");
         endsServers = false;
-        const auto answer = harness.exchange("/crash?n=1", "first");
+        const auto answer = harness.exchange("/crash?n=1", "first", "PUT");
         CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("ends_servers"));
-        CPPUNIT_ASSERT(hasStatus(harness.exchange("/crash?n=1", "second"), 200));
-        CPPUNIT_ASSERT(hasStatus(harness.exchange("/crash?n=2", "first"), 200));
-        CPPUNIT_ASSERT(hasStatus(harness.exchange("/crash?n=1"), 200));
+        CPPUNIT_ASSERT(hasStatus(harness.exchange("/crash?n=1", "second", "PUT"), 200));
+        CPPUNIT_ASSERT(hasStatus(harness.exchange("/crash?n=2", "first", "PUT"), 200));
+        CPPUNIT_ASSERT(hasStatus(harness.exchange("/crash?n=1", "first", "POST"), 200));
     }
 
     /** An ordinary request may be at servers that end for other reasons, here five times. Its repeats succeed, so it
--- a/libs/entry/tests/GatewayHarness.h
+++ b/libs/entry/tests/GatewayHarness.h
@@ -94,12 +94,11 @@
         steering.setServers(servers, steadyNow());
     }
 
-    void send(const std::string& path, const std::string& body = {})
+    void send(const std::string& path, const std::string& body = {}, const std::string& method = "GET")
     {
         const auto length = body.empty() ? std::string() : "Content-Length: " + std::to_string(body.size()) + "\r\n";
         boost::asio::write(callerSocket,
-            boost::asio::buffer(
-                (body.empty() ? "GET " : "POST ") + path + " HTTP/1.1\r\nHost: a\r\n" + length + "\r\n" + body));
+            boost::asio::buffer(method + " " + path + " HTTP/1.1\r\nHost: a\r\n" + length + "\r\n" + body));
     }
 
     /** Runs the context until @p isDone returns true or @p limit has passed. Returns the last value of @p isDone. */
--- a/libs/steering/tests/ConfigurationChangeTest.cpp
+++ b/libs/steering/tests/ConfigurationChangeTest.cpp
@@ -12,7 +12,7 @@
 #include <set>
 
 using namespace peridot;
-using namespace peridot::steeringFixtures;
+using namespace peridot::steering_fixtures;
 using namespace std::chrono_literals;
 
 namespace {
@@ -208,7 +208,7 @@
         static std::string key(std::size_t i) { return "key-" + std::to_string(i); }
 
         ChangingConfiguration(std::uint64_t version, std::mt19937& random)
-            : data(steeringFixtures::data(version))
+            : data(steering_fixtures::data(version))
         {
             const auto homes = [&] {
                 std::vector<RegionId> result;
--- a/libs/steering/tests/CrashRegistryTest.cpp
+++ b/libs/steering/tests/CrashRegistryTest.cpp
@@ -7,7 +7,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace peridot;
-using namespace peridot::steeringFixtures;
+using namespace peridot::steering_fixtures;
 using namespace std::chrono_literals;
 
 namespace {
--- a/libs/steering/tests/SteeringFixtures.h
+++ b/libs/steering/tests/SteeringFixtures.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace peridot::steeringFixtures {
+namespace peridot::steering_fixtures {
 
 using namespace std::chrono_literals;
 
--- a/libs/steering/tests/TrafficSteeringTest.cpp
+++ b/libs/steering/tests/TrafficSteeringTest.cpp
@@ -12,7 +12,7 @@
 #include <set>
 
 using namespace peridot;
-using namespace peridot::steeringFixtures;
+using namespace peridot::steering_fixtures;
 using namespace std::chrono_literals;
 
 namespace {
