http: a response that announces a huge length doesn't end the instance

A response with a Content-Length of 3e15 made Beast reserve that much: an eager parser goes on with the body after it has refused the header for its length, and the exception ended the process.

The header is parsed alone; only then does the parser become eager. ClientConnectionTest::announcedLengthBeyondTheLimitEndsTheExchange: an uncaught exception before, passes now. The input joins the corpus.

--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -77,7 +77,6 @@
     m_parser = std::make_unique<Parser>();
     m_parser->header_limit(responseHeaderBytes);
     m_parser->body_limit(m_options.responseBytes);
-    m_parser->eager(true);
     if (m_request && m_request->method() == http::verb::head)
         m_parser->skip(true);
 }
@@ -184,6 +183,11 @@
             if (ec == http::error::need_more)
                 ec = {};
         }
+        // An eager parser goes on with the body after a header that it refuses, and reserves the announced length.
+        if (!ec && !m_parser->eager() && m_parser->is_header_done() && !m_parser->is_done()) {
+            m_parser->eager(true);
+            continue;
+        }
         if (!ec && isAtEnd && !m_parser->is_done() && m_parser->got_some())
             m_parser->put_eof(ec);
         if (ec) {
--- a/libs/http/tests/ClientConnectionTest.cpp
+++ b/libs/http/tests/ClientConnectionTest.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(silentServerEndsTheExchangeOnce);
     CPPUNIT_TEST(timeoutThatIsDueWithTheResponseSparesTheNextRequest);
     CPPUNIT_TEST(requestIsNotSentIfConnectingOutlastsItsTimeout);
+    CPPUNIT_TEST(announcedLengthBeyondTheLimitEndsTheExchange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -262,6 +263,19 @@
         CPPUNIT_ASSERT(second && *second);
     }
 
+    /** A faulty server may announce any length. Memory for the announced length must not be reserved (found by
+     *  fuzz-responses). */
+    void announcedLengthBeyondTheLimitEndsTheExchange()
+    {
+        for (const std::string head : { "HTTP/1.1 200 OK\r\n", "\r\nHTTP/1.1 200 OK\r\n" }) {
+            Loopback loopback;
+            loopback.request("/");
+            loopback.answer(head + "Content-Length: 3000000000000000\r\nKeep-Alive: timeout=5\r\n\r\nabc");
+            CPPUNIT_ASSERT(loopback.result && !*loopback.result);
+            CPPUNIT_ASSERT(loopback.result->error().isMalformed);
+        }
+    }
+
     /** A process that is paused while it connects finds the connection open when it resumes. The request must not be
      *  sent then: the home regions, the server list and the remaining time by which it was decided are old. */
     void requestIsNotSentIfConnectingOutlastsItsTimeout()
