steering, platform: log the limits that servers name

Cause: no log line or metric says which limit on the requests of all instances a server has named, so the logs of the incident can't tell a limit that is not read from one that is not obeyed.

Change: the protocol reads the limit of each response, TrafficSteering logs changes (server_limit), and the metrics count the limited servers. A limit that can't be read neither sets nor lifts one. Nothing acts on it yet.

Result: platform-adapter-tests read valid, zero, repeated and unreadable limits.

--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -150,6 +150,7 @@
             *it->second.hasResponse = true;
         sendReport.result = info.result;
         sendReport.load = info.load;
+        sendReport.requestLimit = info.requestLimit;
         sendReport.responseBytes = result->body().size();
         if (info.result != DispatchResult::Succeeded)
             sendReport.detail = "status " + std::to_string(result->result_int());
--- a/libs/steering/include/steering/ServicePool.h
+++ b/libs/steering/include/steering/ServicePool.h
@@ -6,6 +6,7 @@
 #include "base/EnumNames.h"
 #include "base/Time.h"
 #include "steering/ListedServer.h"
+#include "steering/ServerLimit.h"
 
 #include <array>
 #include <cstdint>
@@ -145,6 +146,9 @@
     void started(const BackendServerId&, std::optional<std::uint64_t> object, TimePoint now);
     void finished(const BackendServerId&, DispatchResult, Duration latency, Duration expected,
         const std::optional<ServerLoad>&, TimePoint now);
+    /** Records the limit that a response of the server states, see ServerLimit::state(). Returns whether the limit has
+     *  changed. */
+    bool limitStated(const BackendServerId&, double perSecond, TimePoint sent, TimePoint now);
     /** Records whether a request that was sent for @p reason found the object warm. */
     void observeWarm(WarmReason reason, bool wasWarm) noexcept;
     /** Records the round trip measured when a new connection to a server was set up. */
@@ -156,6 +160,7 @@
     void tick(TimePoint now, bool hasUnservedRequests);
 
     const ListedServer* find(const BackendServerId&) const;
+    std::size_t limitedServers() const noexcept;
     std::uint32_t slots() const noexcept; // Slots of the usable servers of all regions.
     std::uint32_t localSlots() const noexcept; // Slots of the usable servers of the own region.
     /** Requests per slot at the own region's usable servers that are not ejected, including queued requests. */
@@ -188,6 +193,7 @@
         Duration ejectionTime { 0 };
         double coldTokens = 1; // Requests that may be sent now while the server is cold; at most 1.
         TimePoint coldTokensTime; // Time of the last refill of the tokens.
+        ServerLimit limit;
         // Objects of the requests sent to the server, with the time of the last request.
         std::map<std::uint64_t, TimePoint> warmObjects;
         std::multiset<TimePoint> startTimes; // Send times of the requests in flight.
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -14,6 +14,7 @@
 #include "steering/OutflowLimit.h"
 #include "steering/QuotaGate.h"
 #include "steering/RouteTable.h"
+#include "steering/ServerLimit.h"
 #include "steering/ServicePool.h"
 
 #include <tl/expected.hpp>
@@ -115,6 +116,9 @@
     std::optional<Duration> connectTime; // Set if a connection was opened for the send.
     std::string detail; // For the log.
     std::size_t responseBytes = 0; // Size of the response's body.
+    // Requests per second that the server takes from all instances together, unlimitedRate if it names no limit. Empty
+    // if the response does not tell.
+    std::optional<double> requestLimit {};
 };
 
 /** Bounds that apply to all instances together. They may change while requests run. */
@@ -231,6 +235,8 @@
 
     const std::shared_ptr<const RouteTable>& routes() const noexcept { return m_routes; }
     std::size_t openRequests() const noexcept { return m_requests.size(); }
+    /** Number of servers whose last response named a limit. */
+    std::size_t limitedServers() const noexcept;
     const SteeringCounters& counters() const noexcept { return m_counters; }
 
 private:
--- a/libs/steering/src/ServicePool.cpp
+++ b/libs/steering/src/ServicePool.cpp
@@ -439,6 +439,12 @@
     }
 }
 
+bool ServicePool::limitStated(const BackendServerId& id, double perSecond, TimePoint sent, TimePoint now)
+{
+    const auto it = m_servers.find(id);
+    return it != m_servers.end() && it->second->limit.state(perSecond, sent, now);
+}
+
 void ServicePool::eject(Server& server, TimePoint now)
 {
     std::size_t count = 0;
@@ -487,6 +493,12 @@
     return slots == 0 ? 1 : taken / slots;
 }
 
+std::size_t ServicePool::limitedServers() const noexcept
+{
+    return static_cast<std::size_t>(std::count_if(m_servers.begin(), m_servers.end(),
+        [](const auto& it) { return it.second->isListed && it.second->limit.isSet(); }));
+}
+
 std::uint32_t ServicePool::localSlots() const noexcept
 {
     std::uint32_t slots = 0;
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -380,6 +380,14 @@
             .add("isolated", m_crashes.isIsolated(report.content)));
 }
 
+std::size_t TrafficSteering::limitedServers() const noexcept
+{
+    std::size_t count = 0;
+    for (const auto& [id, entry] : m_services)
+        count += entry->pool.limitedServers();
+    return count;
+}
+
 const RegionId* TrafficSteering::homeRegion(const Request& request)
 {
     const auto& routeHomes = request.route().homeRegions;
@@ -633,6 +641,10 @@
     // Only at the object's first choice is a warm run likely enough that a long latency indicates a slow server.
     const bool isSurelyWarm = !request.object || request.warmReason == WarmReason::FirstChoice;
     const auto expected = isSurelyWarm ? request.expectedWork : query(request).coldWork;
+    if (report.requestLimit && pool.limitStated(server, *report.requestLimit, request.sentAt, now)) {
+        m_log.write(
+            LogLevel::Info, LogLine("server_limit").add("server", server).add("per_second", *report.requestLimit));
+    }
     pool.finished(server, report.result, now - request.sentAt, expected, report.load, now);
     if (report.result == DispatchResult::Succeeded) {
         const auto* info = pool.find(server);
