--- /dev/null
+++ b/libs/steering/tests/LimitedFleet.h
@@ -0,0 +1,222 @@
+// Entry instances and backend servers in simulated time, for tests of limits that bind the sum over all instances.
+
+#pragma once
+
+#include "steering/TrafficSteering.h"
+
+#include <algorithm>
+#include <deque>
+#include <limits>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace peridot {
+
+/** Callers' requests are spread evenly over the instances, which are spread over three regions as the servers are. */
+class LimitedFleet {
+public:
+    LimitedFleet(std::size_t instances, std::size_t servers, double requestsPerSecond, std::uint64_t seed)
+        : m_random(seed)
+        , m_requestGap(requestsPerSecond)
+    {
+        const std::vector<RegionId> regions { RegionId("jadran"), RegionId("slavonija"), RegionId("zagorje") };
+        for (std::size_t i = 0; i < servers; ++i) {
+            ListedServer server;
+            server.id = BackendServerId("s-" + std::to_string(i));
+            server.service = ServiceId("salonik");
+            server.address = "10.0.0.1:" + std::to_string(8000 + i);
+            server.region = regions[i % regions.size()];
+            server.failureDomain = FailureDomainId(server.region.value() + "-a");
+            server.slots = 8;
+            m_servers.push_back(server);
+        }
+        for (std::size_t i = 0; i < instances; ++i) {
+            m_instances.emplace_back();
+            m_instances.back().region = regions[i % regions.size()];
+            start(i);
+        }
+        connectInstances();
+    }
+
+    /** Sets the limit that the server names from now on. */
+    void setLimit(std::size_t server, double perSecond) { m_limits[m_servers[server].id] = perSecond; }
+    void setWork(Duration work) { m_work = work; }
+    /** The instance starts anew and knows nothing. */
+    void restart(std::size_t instance)
+    {
+        ++m_instances[instance].starts;
+        start(instance);
+        connectInstances();
+    }
+
+    void run(Duration time)
+    {
+        const auto end = m_now + time;
+        for (; m_now < end; m_now += step) {
+            for (; m_nextRequest <= m_now; m_nextRequest += fromSeconds(m_requestGap(m_random)))
+                beginRequest();
+            while (!m_runs.empty() && m_runs.begin()->first <= m_now) {
+                const auto run = m_runs.extract(m_runs.begin()).mapped();
+                finish(run);
+            }
+            for (std::size_t i = 0; i < m_instances.size(); ++i)
+                perform(i, m_instances[i].steering->tick(m_now));
+        }
+    }
+
+    /** Requests beyond what the limit allows in the worst window of 4 s since @p from, of those that came from
+     * instances that had passed on a response with the limit at least 0.5 s before. */
+    double excess(std::size_t server, TimePoint from) const
+    {
+        constexpr Duration window = std::chrono::seconds { 4 };
+        const auto it = m_arrivals.find(m_servers[server].id);
+        double worst = -std::numeric_limits<double>::infinity();
+        if (it == m_arrivals.end())
+            return worst;
+        std::deque<TimePoint> inWindow;
+        for (const auto& arrival : it->second) {
+            if (arrival.at < from || !arrival.wasTold)
+                continue;
+            inWindow.push_back(arrival.at);
+            while (arrival.at - inWindow.front() >= window)
+                inWindow.pop_front();
+            worst = std::max(worst, static_cast<double>(inWindow.size()) - (1.5 * arrival.limit * 4 + 5));
+        }
+        return worst;
+    }
+    /** Requests per second that the server has got since @p from. */
+    double rate(std::size_t server, TimePoint from) const
+    {
+        double count = 0;
+        if (const auto it = m_arrivals.find(m_servers[server].id); it != m_arrivals.end())
+            for (const auto& arrival : it->second)
+                count += arrival.at >= from ? 1 : 0;
+        return count / toSeconds(m_now - from);
+    }
+
+    TimePoint now() const noexcept { return m_now; }
+    std::size_t answered() const noexcept { return m_answered; }
+    std::size_t rejected() const noexcept { return m_rejected; }
+
+private:
+    static constexpr Duration step = std::chrono::milliseconds { 20 };
+
+    struct Instance {
+        RegionId region;
+        unsigned starts = 0;
+        std::unique_ptr<TrafficSteering> steering;
+        std::map<BackendServerId, TimePoint> told; // When it passed on the first response with a limit.
+    };
+
+    struct Run {
+        std::size_t instance = 0;
+        unsigned start = 0; // Of the instance.
+        RequestHandle request = 0;
+        BackendServerId server;
+    };
+
+    struct Arrival {
+        TimePoint at;
+        double limit = 0;
+        bool wasTold = false;
+    };
+
+    void start(std::size_t index)
+    {
+        auto& instance = m_instances[index];
+        SteeringOptions options;
+        options.region = instance.region;
+        instance.steering = std::make_unique<TrafficSteering>(options, m_random(), m_log);
+        instance.told.clear();
+        RouteTableData data;
+        data.version = 1;
+        data.services = { { ServiceId("salonik"), "/health", 360, {}, 0 } };
+        Route route;
+        route.name = "r";
+        route.host = "a";
+        route.pathPrefix = "/";
+        route.services = { { ServiceId("salonik"), 1 } };
+        route.timeout = std::chrono::milliseconds { 1'500 };
+        route.targetLatency = std::chrono::milliseconds { 400 };
+        route.isIdempotent = true;
+        route.isSticky = true;
+        route.maximumAttempts = 2;
+        data.routes = { route };
+        instance.steering->setRoutes(*RouteTable::create(data));
+        instance.steering->setServers(m_servers, m_now);
+    }
+
+    void connectInstances()
+    {
+        for (auto& instance : m_instances)
+            instance.steering->setInstances(m_instances.size(), (m_instances.size() + 2) / 3);
+    }
+
+    void beginRequest()
+    {
+        const auto index = m_random() % m_instances.size();
+        CallerRequest request;
+        request.id = "r";
+        request.host = "a";
+        request.path = "/";
+        request.object = std::to_string(m_random() % 300);
+        request.remainingTime = std::chrono::milliseconds { 2'000 };
+        perform(index, m_instances[index].steering->begin(++m_lastRequest, request, m_now));
+    }
+
+    void perform(std::size_t index, const SteeringActions& actions)
+    {
+        for (const auto& action : actions) {
+            if (const auto* send = std::get_if<SendToServer>(&action)) {
+                const auto& told = m_instances[index].told;
+                const auto it = told.find(send->server);
+                m_arrivals[send->server].push_back({ m_now, limit(send->server),
+                    it != told.end() && m_now - it->second >= std::chrono::milliseconds { 500 } });
+                m_runs.emplace(m_now + m_work, Run { index, m_instances[index].starts, send->request, send->server });
+            } else if (std::holds_alternative<DeliverResponse>(action)) {
+                ++m_answered;
+            } else if (std::holds_alternative<RejectRequest>(action)) {
+                ++m_rejected;
+            }
+        }
+    }
+
+    void finish(const Run& run)
+    {
+        auto& instance = m_instances[run.instance];
+        if (instance.starts != run.start)
+            return;
+        SendReport report;
+        report.requestLimit = limit(run.server);
+        if (report.requestLimit < unlimitedRate)
+            instance.told.try_emplace(run.server, m_now);
+        perform(run.instance, instance.steering->finished(run.request, report, m_now));
+    }
+
+    double limit(const BackendServerId& server) const
+    {
+        const auto it = m_limits.find(server);
+        return it == m_limits.end() ? unlimitedRate : it->second;
+    }
+
+    NullEventLog m_log;
+    std::mt19937_64 m_random;
+    std::exponential_distribution<double> m_requestGap { 1 };
+    Duration m_work = std::chrono::milliseconds { 120 };
+    TimePoint m_now { std::chrono::seconds { 1'000 } };
+    TimePoint m_nextRequest = m_now;
+    std::vector<ListedServer> m_servers;
+    std::map<BackendServerId, double> m_limits;
+    std::vector<Instance> m_instances;
+    std::multimap<TimePoint, Run> m_runs; // By the time of their end.
+    std::map<BackendServerId, std::vector<Arrival>> m_arrivals;
+    RequestHandle m_lastRequest = 0;
+    std::size_t m_answered = 0;
+    std::size_t m_rejected = 0;
+};
+
+}
