steering: divide the rate of a cold server by rank instead of chance

Cause: which instances send to a cold server was drawn by each instance alone, so that their number, and with it the sum, was random, and instances of other regions took parts that they seldom used.

Change: RateDivision orders the instances by rendezvous hashing, live ones of the server's region first, and gives as many of them a part as the bound leaves room for. SendTokens holds at most one request. TrafficSteering knows the instances by name; listed ones without heartbeats hold a part last. The test of cold servers keeps its bound.

--- a/libs/steering/include/steering/ServicePool.h
+++ b/libs/steering/include/steering/ServicePool.h
@@ -6,6 +6,7 @@
 #include "base/EnumNames.h"
 #include "base/Time.h"
 #include "steering/ListedServer.h"
+#include "steering/RateDivision.h"
 #include "steering/ServerLimit.h"
 
 #include <array>
@@ -133,9 +134,10 @@
     void setEvacuated(const std::set<FailureDomainId>&);
     /** Sets the share of the region's requests that may change their region from one 2 s window to the next. */
     void setMaximumShiftShare(double share) noexcept { m_maximumShiftShare = share; }
-    /** Sets the rate at which this instance may send to one cold server. The instance sends to the part @p share of
-     *  the cold servers only, which a hash selects. */
-    void setColdRate(double perSecond, double share);
+    /** Sets the entry instances that share the rates of servers. */
+    void setRateDivision(std::shared_ptr<const RateDivision>);
+    /** Sets the rate at which all instances together may send to one cold server, and how many of them may. */
+    void setColdRate(double perSecond, double maximumSenders);
 
     PoolChoice choose(const PoolQuery&, TimePoint now);
     /** Counts a queued request as waiting for a server. clearClaims() resets the counts before a new pass over the
@@ -170,10 +172,24 @@
     Duration roundTrip(const RegionId&) const;
 
 private:
+    /** This instance's part of a rate of one server. */
+    struct RatePart {
+        SendTokens tokens;
+        // What the rate of the tokens was computed from.
+        std::uint64_t divisionVersion = 0;
+        double rate = 0;
+        std::size_t turn = 0;
+
+        explicit RatePart(SendTokens it)
+            : tokens(it)
+        {
+        }
+    };
+
     struct Server {
         Server(ListedServer description, TimePoint now)
             : info(std::move(description))
-            , coldTokensTime(now)
+            , coldPart(SendTokens(1, now))
         {
         }
 
@@ -191,8 +207,7 @@
         TimePoint ejectedUntil {};
         // Duration of the last ejection, which the next one doubles; 0 after a success.
         Duration ejectionTime { 0 };
-        double coldTokens = 1; // Requests that may be sent now while the server is cold; at most 1.
-        TimePoint coldTokensTime; // Time of the last refill of the tokens.
+        RatePart coldPart; // Used while the server is cold.
         ServerLimit limit;
         // Objects of the requests sent to the server, with the time of the last request.
         std::map<std::uint64_t, TimePoint> warmObjects;
@@ -207,6 +222,9 @@
     double estimatedOtherInstancesLoad(const Server&, TimePoint now) const;
     double slowness(const Server&, Duration expected, TimePoint now) const;
     bool hasColdToken(Server&, TimePoint now) const;
+    /** Returns the tokens of the part, with their rate up to date. */
+    SendTokens& tokensOf(
+        RatePart&, const ListedServer&, double rate, double maximumSenders, std::size_t turn, TimePoint now) const;
     WarmReason warmReason(
         const Server&, std::size_t orderIndex, bool isUnranked, std::uint64_t object, TimePoint now) const;
     void eject(Server&, TimePoint now);
@@ -225,7 +243,6 @@
 
     const RegionId m_region;
     const ServicePoolOptions m_options;
-    const std::uint64_t m_seed; // Differs between instances, so that they use different cold servers.
     std::mt19937_64 m_random;
     std::map<BackendServerId, std::unique_ptr<Server>> m_servers; // Unlisted servers stay until their requests end.
     std::set<FailureDomainId> m_evacuated;
@@ -233,7 +250,10 @@
     std::map<RegionId, Duration> m_roundTrips;
     double m_maximumShiftShare = 0.15; // The users' bound; replaced by setMaximumShiftShare().
     double m_coldRatePerSecond = 1;
-    double m_coldShare = 1;
+    double m_maximumColdSenders = 1;
+    std::shared_ptr<const RateDivision> m_division
+        = std::make_shared<RateDivision>(InstanceId {}, std::vector<EntryInstance> {});
+    std::uint64_t m_divisionVersion = 1; // Counts the calls of setRateDivision().
     OfferedLoad m_offeredLoad;
     // Degree to which requests with large responses are kept in the region, 0 to 1. It grows in small steps once there
     // are any, because it changes the region of requests.
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -148,6 +148,7 @@
     Duration minimumRetryAfter = std::chrono::milliseconds { 100 };
     Duration maximumRetryAfter = std::chrono::seconds { 2 };
     std::size_t queueLimit = 256; // Per service.
+    InstanceId instance {}; // The entry instance itself.
 };
 
 /** Counts durations per interval: up to each bound, and beyond the last one. */
@@ -207,9 +208,8 @@
     void setServers(const std::vector<ListedServer>&, TimePoint now);
     void setEvacuated(const std::set<FailureDomainId>& domains);
     void setBounds(const SteeringBounds&);
-    /** Number of live entry instances, this one included, and how many of them are in its region. Quotas, cold rates,
-     *  retries and slots are shared among them. */
-    void setInstances(std::size_t count, std::size_t inRegion);
+    /** Sets the entry instances, this one included. Cold rates, retries and slots are shared among them. */
+    void setInstances(std::vector<EntryInstance>);
     /** Loads of all services in the own region, for exchange with the other regions. */
     std::vector<LocalServiceLoad> localLoads(TimePoint now) const;
     /** Slots that the callers of each region would fill. */
@@ -299,10 +299,11 @@
     SteeringOptions m_options;
     EventLog& m_log;
     std::uint64_t m_seed;
+    std::vector<EntryInstance> m_instances; // Empty before the first call of setInstances().
+    std::size_t m_localInstances = 1; // Live ones in the own region.
+    std::shared_ptr<const RateDivision> m_division; // Among m_instances.
     KnowledgeGuard m_knowledge;
     std::shared_ptr<const RouteTable> m_routes;
-    std::size_t m_instances = 1;
-    std::size_t m_localInstances = 1;
     LateAttemptDetector m_lateAttempts;
     QuotaGate m_quotas;
     CrashRegistry m_crashes;
--- a/libs/steering/src/ServicePool.cpp
+++ b/libs/steering/src/ServicePool.cpp
@@ -78,7 +78,6 @@
 ServicePool::ServicePool(RegionId ownRegion, ServicePoolOptions options, std::uint64_t seed)
     : m_region(std::move(ownRegion))
     , m_options(options)
-    , m_seed(seed)
     , m_random(seed)
 {
 }
@@ -164,19 +163,34 @@
                                         : server.slowness;
 }
 
-void ServicePool::setColdRate(double perSecond, double share)
+void ServicePool::setRateDivision(std::shared_ptr<const RateDivision> division)
+{
+    m_division = std::move(division);
+    ++m_divisionVersion;
+}
+
+void ServicePool::setColdRate(double perSecond, double maximumSenders)
 {
     m_coldRatePerSecond = perSecond;
-    m_coldShare = share;
+    m_maximumColdSenders = maximumSenders;
+}
+
+SendTokens& ServicePool::tokensOf(
+    RatePart& part, const ListedServer& info, double rate, double maximumSenders, std::size_t turn, TimePoint now) const
+{
+    if (part.divisionVersion != m_divisionVersion || part.rate != rate || part.turn != turn) {
+        part.tokens.setRate(m_division->part(info.id, info.region, rate, maximumSenders, turn), now);
+        part.divisionVersion = m_divisionVersion;
+        part.rate = rate;
+        part.turn = turn;
+    }
+    return part.tokens;
 }
 
 bool ServicePool::hasColdToken(Server& server, TimePoint now) const
 {
-    if (uniform(hashOf(m_seed, server.info.id.value())) >= m_coldShare)
-        return false;
-    server.coldTokens = std::min(1.0, server.coldTokens + m_coldRatePerSecond * toSeconds(now - server.coldTokensTime));
-    server.coldTokensTime = now;
-    return server.coldTokens >= 1;
+    auto& tokens = tokensOf(server.coldPart, server.info, m_coldRatePerSecond, m_maximumColdSenders, 0, now);
+    return tokens.wait(0, now) == Duration { 0 };
 }
 
 /** Orders the servers by weighted rendezvous hashing, so that all instances get the same order without messages. The
@@ -360,7 +374,7 @@
     ++server.inFlight;
     server.startTimes.insert(now);
     if (server.info.coldUntil > now)
-        server.coldTokens -= 1;
+        server.coldPart.tokens.take();
     if (!object)
         return;
     if (server.warmObjects.size() >= maximumWarmObjectsPerServer)
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -40,7 +40,8 @@
     constexpr double minimumRatePerSecond = 0.5;
     // Share of a cold server's rate that is used. It is below 1 because instances count their sends independently.
     constexpr double coldRateShare = 0.8;
-    constexpr double coldSenderShare = 0.6; // Share of the possible concurrent senders; which instances send is random.
+    // Share of the possible senders, because instances may differ about who lives and send at the same time.
+    constexpr double coldSenderShare = 0.6;
 
     template <typename T> std::size_t countHomed(const std::vector<T>& items)
     {
@@ -147,6 +148,7 @@
     : m_options(std::move(options))
     , m_log(log)
     , m_seed(seed)
+    , m_division(std::make_shared<RateDivision>(m_options.instance, m_instances))
     , m_knowledge(m_options.knowledge)
     , m_quotas(seed)
     , m_crashes(m_options.crashes, seed)
@@ -159,8 +161,10 @@
 TrafficSteering::Service& TrafficSteering::service(const ServiceId& id)
 {
     auto& entry = m_services[id];
-    if (!entry)
+    if (!entry) {
         entry = std::make_unique<Service>(m_options, m_seed + XXH3_64bits(id.value().data(), id.value().size()));
+        entry->pool.setRateDivision(m_division);
+    }
     return *entry;
 }
 
@@ -205,13 +209,18 @@
     configureServices();
 }
 
-void TrafficSteering::setInstances(std::size_t count, std::size_t inRegion)
+void TrafficSteering::setInstances(std::vector<EntryInstance> instances)
 {
-    count = std::max<std::size_t>(count, 1);
-    m_localInstances = std::max<std::size_t>(inRegion, 1);
-    if (count == m_instances)
+    if (instances == m_instances)
         return;
-    m_instances = count;
+    m_instances = std::move(instances);
+    const auto local = std::count_if(m_instances.begin(), m_instances.end(),
+        [this](const auto& it) { return it.isLive && it.region == m_options.region; });
+    m_localInstances = std::max<std::size_t>(static_cast<std::size_t>(local), 1);
+    const auto division = std::make_shared<const RateDivision>(m_options.instance, m_instances);
+    for (const auto& [id, entry] : m_services)
+        entry->pool.setRateDivision(division);
+    m_division = division;
     configureServices();
 }
 
@@ -253,22 +262,19 @@
             applyColdRate(entry->pool, description->coldRequestsPerSecond);
         entry->pool.setEvacuated(m_evacuated);
         entry->pool.setMaximumShiftShare(m_options.bounds.maximumShiftShare);
-        entry->retries.setLimits(
-            m_options.bounds.retryShare, m_options.bounds.retrySlack / static_cast<double>(m_instances));
+        entry->retries.setLimits(m_options.bounds.retryShare,
+            m_options.bounds.retrySlack / static_cast<double>(std::max<std::size_t>(m_instances.size(), 1)));
     }
 }
 
-/** Divides the rate of a cold server among the instances. Each instance may have one request unit available in addition
- *  to its share of the rate. If these units together would exceed the limit, each instance uses only a share of the
- *  cold servers. */
+/** Each instance that sends to a cold server may have one request ready in addition to its part of the rate, so that
+ * the room that the limit leaves beyond the rate bounds their number. */
 void TrafficSteering::applyColdRate(ServicePool& pool, double perSecond) const
 {
     const auto rate = perSecond * coldRateShare;
     const auto& bounds = m_options.bounds;
     const auto senders = std::max(1.0, (perSecond * bounds.coldOverage + bounds.coldSlack - rate) * coldSenderShare);
-    const auto instances = static_cast<double>(m_instances);
-    const auto share = std::min(1.0, senders / instances);
-    pool.setColdRate(rate / (instances * share), share);
+    pool.setColdRate(rate, senders);
 }
 
 SteeringActions TrafficSteering::begin(RequestHandle handle, const CallerRequest& caller, TimePoint now)
--- a/libs/steering/tests/LimitedFleet.h
+++ b/libs/steering/tests/LimitedFleet.h
@@ -36,6 +36,7 @@
         }
         for (std::size_t i = 0; i < instances; ++i) {
             m_instances.emplace_back();
+            m_instances.back().id = InstanceId("e-" + std::to_string(i));
             m_instances.back().region = regions[i % regions.size()];
             start(i);
         }
@@ -106,6 +107,7 @@
     static constexpr Duration step = std::chrono::milliseconds { 20 };
 
     struct Instance {
+        InstanceId id;
         RegionId region;
         unsigned starts = 0;
         std::unique_ptr<TrafficSteering> steering;
@@ -130,6 +132,7 @@
         auto& instance = m_instances[index];
         SteeringOptions options;
         options.region = instance.region;
+        options.instance = instance.id;
         instance.steering = std::make_unique<TrafficSteering>(options, m_random(), m_log);
         instance.told.clear();
         RouteTableData data;
@@ -152,8 +155,11 @@
 
     void connectInstances()
     {
+        std::vector<EntryInstance> all;
+        for (const auto& instance : m_instances)
+            all.push_back({ instance.id, instance.region });
         for (auto& instance : m_instances)
-            instance.steering->setInstances(m_instances.size(), (m_instances.size() + 2) / 3);
+            instance.steering->setInstances(all);
     }
 
     void beginRequest()
--- a/libs/steering/tests/ServicePoolTest.cpp
+++ b/libs/steering/tests/ServicePoolTest.cpp
@@ -289,13 +289,16 @@
         for (const int instances : { 10, 80 }) {
             auto servers = serversIn(jadran, 1);
             servers[0].coldUntil = start + 10s;
-            const auto share = std::min(1.0, 11.0 / instances);
+            std::vector<EntryInstance> all;
+            for (int i = 0; i < instances; ++i)
+                all.push_back({ InstanceId("e-" + std::to_string(i)), i % 3 ? zagorje : jadran });
             std::vector<std::unique_ptr<ServicePool>> pools;
             for (int i = 0; i < instances; ++i) {
                 pools.push_back(
                     std::make_unique<ServicePool>(jadran, ServicePoolOptions {}, static_cast<std::uint64_t>(i)));
                 pools.back()->setServers(servers, start);
-                pools.back()->setColdRate(coldPerSecond * 0.8 / (instances * share), share);
+                pools.back()->setRateDivision(std::make_shared<RateDivision>(all[static_cast<std::size_t>(i)].id, all));
+                pools.back()->setColdRate(coldPerSecond * 0.8, 11);
             }
             std::vector<TimePoint> sends;
             for (auto now = start; now < start + 5s; now += 5ms) {
