steering, membership, entry: keep all instances together within the limits that servers name

Callers saw nothing; servers in need got several times what they had said that they take (77 requests in 4 s, allowed 50). Cause: the limit was read nowhere, and nothing could divide a rate among instances that is far below their number. Evidence: server-limit-tests failed with 23 requests too many with 11 instances and 131 with 80.

Parts of the limit go to as few instances as the bound leaves room for; each part holds one request at most. The choice of server, the queue and retries all pass through it, and a limited server counts as no more slots than its limit keeps busy. The sum holds because the parts add up to the limit and half of the room is left for instances that differ about who lives.

The tests of ctest without the long ones pass.

--- a/libs/entry/src/InstanceGroup.cpp
+++ b/libs/entry/src/InstanceGroup.cpp
@@ -223,6 +223,22 @@
     return result;
 }
 
+void InstanceGroup::setServerLimits(std::vector<ServerLimitReport> limits)
+{
+    m_membership.setLimits(std::move(limits), steadyNow());
+}
+
+std::vector<ServerLimitReport> InstanceGroup::serverLimits() const
+{
+    const auto now = steadyNow();
+    std::vector<ServerLimitReport> result;
+    for (const auto& region : regions()) {
+        for (auto& limit : m_membership.view().limits(region, now))
+            result.push_back(std::move(limit));
+    }
+    return result;
+}
+
 std::map<WorkspaceId, double> InstanceGroup::totalDemands() const
 {
     std::map<WorkspaceId, double> totals;
--- a/libs/membership/include/membership/Messages.h
+++ b/libs/membership/include/membership/Messages.h
@@ -85,6 +85,16 @@
     bool operator==(const WorkspaceDemand&) const = default;
 };
 
+/** What a backend server has stated on the requests that it takes from all instances together. */
+struct ServerLimitReport {
+    BackendServerId server;
+    std::int64_t incarnation = 0; // Of the server.
+    double requestsPerSecond = 0; // Infinite if a limit has ended.
+    Duration age { 0 }; // Of the statement, when the message or the summary that carries it was made.
+
+    bool operator==(const ServerLimitReport&) const = default;
+};
+
 enum class EvidenceKind {
     None,
     Confirmed, // The store's head row said this version.
@@ -116,7 +126,8 @@
     StoreAttestation store;
     std::vector<ServiceLoad> loads;
     std::vector<WorkspaceDemand> demands;
-    Duration age { 0 }; // Of the lowest version, loads and demands.
+    std::vector<ServerLimitReport> limits;
+    Duration age { 0 }; // Of the lowest version, loads, demands and limits.
 };
 
 struct Heartbeat {
@@ -134,6 +145,7 @@
     std::vector<KnownView> known; // Only if the last reply showed another view hash.
     std::vector<ServiceLoad> loads;
     std::vector<WorkspaceDemand> demands;
+    std::vector<ServerLimitReport> limits; // That the servers stated to the sender.
 };
 
 struct HeartbeatReply {
@@ -146,7 +158,7 @@
     bool isReachabilityWitnessed = false; // Another domain has just confirmed to know that this one reaches the store.
     std::uint64_t viewHash = 0;
     // Only domains that changed since the versions in the heartbeat. In some replies, one domain of each region carries
-    // loads and demands; in these summaries they are sums over the region.
+    // loads, demands and limits; in these summaries they are those of the whole region.
     std::vector<DomainSummary> domains;
 };
 
--- a/libs/membership/src/MemberAgent.cpp
+++ b/libs/membership/src/MemberAgent.cpp
@@ -99,6 +99,9 @@
     }
     message.loads = m_loads;
     message.demands = m_demands;
+    message.limits = m_limits;
+    for (auto& limit : message.limits)
+        limit.age += now - m_limitsSetAt;
     relay.open.emplace(message.sequence, Sent { now, message.store.isReachable });
     if (!relay.unansweredSince)
         relay.unansweredSince = now;
@@ -166,12 +169,13 @@
 void MemberAgent::takeView(Relay& relay, const HeartbeatReply& reply, TimePoint now)
 {
     for (auto summary : reply.domains) {
-        if (!summary.loads.empty() || !summary.demands.empty()) {
-            m_view.setRegionLoads(
-                summary.region, std::move(summary.loads), std::move(summary.demands), now - summary.age);
+        if (!summary.loads.empty() || !summary.demands.empty() || !summary.limits.empty()) {
+            m_view.setRegionLoads(summary.region, std::move(summary.loads), std::move(summary.demands),
+                std::move(summary.limits), now - summary.age);
         }
         summary.loads.clear();
         summary.demands.clear();
+        summary.limits.clear();
         m_view.apply(summary, now);
     }
     relay.namesKnown = m_view.hash() != reply.viewHash;
--- a/libs/membership/tests/FleetTest.cpp
+++ b/libs/membership/tests/FleetTest.cpp
@@ -6,6 +6,8 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 using namespace peridot;
 using namespace peridot::testing;
 
@@ -14,6 +16,7 @@
 class FleetTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(FleetTest);
     CPPUNIT_TEST(starts);
+    CPPUNIT_TEST(limitsReachEveryoneWithTheirAge);
     CPPUNIT_TEST(deadMembersLeaveAndComeBack);
     CPPUNIT_TEST(lossOfBothRelaysHeals);
     CPPUNIT_TEST(lossOfDomainShowsAndHeals);
@@ -53,6 +56,39 @@
     }
 
 public:
+    /** A statement that arrived late, or looked newer than it is, would let instances send more than a server takes. */
+    void limitsReachEveryoneWithTheirAge()
+    {
+        auto settings = sized(4);
+        settings.membership.steadyDigestInterval = 500ms;
+        settings.membership.loadsEvery = 1;
+        Fleet fleet(settings);
+        fleet.run(5s);
+        const BackendServerId server("i-1");
+        const auto tell = [&](std::size_t index, double limit, Duration age) {
+            const auto& instance = fleet.instance(index);
+            instance.membership->setLimits({ { server, 7, limit, age } }, fleet.localTime(instance));
+        };
+        tell(0, 2.7, 100ms);
+        tell(fleet.size() - 1, 50, 900ms); // Older.
+        const auto said = fleet.now();
+        fleet.run(2s);
+        for (const auto i : fleet.live()) {
+            std::vector<ServerLimitReport> known;
+            const auto& instance = fleet.instance(i);
+            for (const auto& region : fleet.regions()) {
+                for (const auto& it : instance.membership->view().limits(region, fleet.localTime(instance)))
+                    known.push_back(it);
+            }
+            const auto newest = std::min_element(
+                known.begin(), known.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
+            CPPUNIT_ASSERT(newest != known.end() && newest->server == server && newest->incarnation == 7);
+            CPPUNIT_ASSERT_EQUAL(2.7, newest->requestsPerSecond);
+            const auto age = fleet.now() - said + 100ms;
+            CPPUNIT_ASSERT(newest->age > age - 500ms && newest->age < age + 500ms);
+        }
+    }
+
     void starts()
     {
         Fleet fleet(sized(4));
--- a/libs/steering/include/steering/ServerLimit.h
+++ b/libs/steering/include/steering/ServerLimit.h
@@ -2,8 +2,12 @@
 
 #pragma once
 
+#include "base/Ids.h"
 #include "base/Time.h"
 
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <limits>
 
 namespace peridot {
@@ -11,29 +15,74 @@
 /** Rate of a server that names no limit. */
 constexpr double unlimitedRate = std::numeric_limits<double>::infinity();
 
+/** A server's statement on its limit, as instances exchange it. */
+struct ServerLimitStatement {
+    BackendServerId server;
+    std::int64_t incarnation = 0; // As in ListedServer. The statement doesn't hold for another start of the server.
+    double perSecond = unlimitedRate;
+    Duration age { 0 };
+};
+
 /** Requests per second that one start of a server takes from all instances together, as it has last stated. */
 class ServerLimit {
 public:
     /** Records what a response states whose request was sent at @p sent. Returns whether the limit has changed.
-     * Responses may overtake each other: a tighter limit counts from the receipt, a looser one from the time of the
-     * request, so that an older response doesn't lift a limit. */
+     *  Responses may overtake each other: a tighter limit counts from the receipt, a looser one from the time of the
+     *  request, so that an older response doesn't lift a limit. */
     bool state(double perSecond, TimePoint sent, TimePoint received)
     {
-        const auto statedAt = perSecond > m_perSecond ? sent : received;
+        return record(perSecond, perSecond > m_perSecond ? sent : received, true);
+    }
+
+    /** Records a statement that another instance has received. Returns whether the limit has changed. */
+    bool learn(const ServerLimitStatement& statement, TimePoint now)
+    {
+        return record(statement.perSecond, now - statement.age, false);
+    }
+
+    bool isSet() const noexcept { return m_perSecond < unlimitedRate; }
+    double perSecond() const noexcept { return m_perSecond; }
+    /** Rate to send at. It is never 0, because only a response tells that a limit has ended. */
+    double rate() const noexcept { return std::max(m_perSecond, s_minimumRate); }
+    /** Counts the times that nobody had a response of the server for long. Others send then, because those who may have
+     *  no requests for it, and the limit may have ended. */
+    std::size_t turn(TimePoint now) const noexcept
+    {
+        return now <= m_statedAt ? 0 : static_cast<std::size_t>((now - m_statedAt) / s_turnTime);
+    }
+    Duration age(TimePoint now) const noexcept { return std::max(now - m_statedAt, Duration { 0 }); }
+    /** Whether the other instances have to be told: the newest statement was made to this instance, and it names a
+     * limit or one has ended not long ago. */
+    bool isToBeTold(TimePoint now) const noexcept
+    {
+        return m_isOwn && (isSet() || (m_hasBeenSet && now - m_lastSet < s_endMemory));
+    }
+
+private:
+    static constexpr double s_minimumRate = 0.2;
+    static constexpr Duration s_turnTime = std::chrono::seconds { 10 };
+    static constexpr Duration s_endMemory = std::chrono::seconds { 30 };
+
+    bool record(double perSecond, TimePoint statedAt, bool isOwn)
+    {
         if (statedAt <= m_statedAt)
             return false;
+        if (isSet()) {
+            m_hasBeenSet = true;
+            m_lastSet = statedAt;
+        }
         m_statedAt = statedAt;
+        m_isOwn = isOwn;
         const bool hasChanged = perSecond != m_perSecond;
         m_perSecond = perSecond;
         return hasChanged;
     }
 
-    bool isSet() const noexcept { return m_perSecond < unlimitedRate; }
-    double perSecond() const noexcept { return m_perSecond; }
-
-private:
     double m_perSecond = unlimitedRate;
     TimePoint m_statedAt {};
+    bool m_isOwn = false;
+    bool m_hasBeenSet = false; // Before the newest statement, at m_lastSet for the last time.
+    TimePoint m_lastSet {};
 };
 
 }
--- a/libs/steering/include/steering/ServicePool.h
+++ b/libs/steering/include/steering/ServicePool.h
@@ -117,6 +117,15 @@
     std::size_t orderIndex = 0;
 };
 
+/**
+ * The most that a server may get in a window: its limit times the window and the overage, and the slack.
+ */
+struct LimitBound {
+    Duration window = std::chrono::seconds { 4 };
+    double overage = 1.5;
+    double slack = 5;
+};
+
 /** Demand for a service, measured in the slots that its requests would fill if warm servers served all of them. */
 struct OfferedLoad {
     std::map<RegionId, double> byRegion {}; // By the region of the callers.
@@ -148,9 +157,15 @@
     void started(const BackendServerId&, std::optional<std::uint64_t> object, TimePoint now);
     void finished(const BackendServerId&, DispatchResult, Duration latency, Duration expected,
         const std::optional<ServerLoad>&, TimePoint now);
+    /** Sets the room that the bound on limited servers leaves, see LimitBound. */
+    void setLimitBound(const LimitBound& bound) { m_limitBound = bound; }
     /** Records the limit that a response of the server states, see ServerLimit::state(). Returns whether the limit has
      *  changed. */
     bool limitStated(const BackendServerId&, double perSecond, TimePoint sent, TimePoint now);
+    /** Records what a server stated to another instance. Returns whether the limit has changed. */
+    bool learnLimit(const ServerLimitStatement&, TimePoint now);
+    /** Statements on limits that the other instances have to be told. */
+    std::vector<ServerLimitStatement> limitStatements(TimePoint now) const;
     /** Records whether a request that was sent for @p reason found the object warm. */
     void observeWarm(WarmReason reason, bool wasWarm) noexcept;
     /** Records the round trip measured when a new connection to a server was set up. */
@@ -163,8 +178,9 @@
 
     const ListedServer* find(const BackendServerId&) const;
     std::size_t limitedServers() const noexcept;
-    std::uint32_t slots() const noexcept; // Slots of the usable servers of all regions.
-    std::uint32_t localSlots() const noexcept; // Slots of the usable servers of the own region.
+    // A limited server counts as no more slots than its limit keeps busy.
+    double slots() const noexcept; // Slots of the usable servers of all regions.
+    double localSlots() const noexcept; // Slots of the usable servers of the own region.
     /** Requests per slot at the own region's usable servers that are not ejected, including queued requests. */
     double localOccupancy(TimePoint now) const;
     /** Share of the own region's requests that is sent to other regions, of those that may run in any. */
@@ -189,11 +205,14 @@
     struct Server {
         Server(ListedServer description, TimePoint now)
             : info(std::move(description))
+            , knownSince(now)
             , coldPart(SendTokens(1, now))
+            , limitPart(SendTokens(0, now))
         {
         }
 
         ListedServer info;
+        TimePoint knownSince; // Of this start of the server.
         bool isListed = true;
         bool isAddressTaken = false; // Another server responded at its address.
         std::uint32_t inFlight = 0; // Requests of this instance that have no result yet.
@@ -209,6 +228,7 @@
         Duration ejectionTime { 0 };
         RatePart coldPart; // Used while the server is cold.
         ServerLimit limit;
+        RatePart limitPart; // Used while the server names a limit.
         // Objects of the requests sent to the server, with the time of the last request.
         std::map<std::uint64_t, TimePoint> warmObjects;
         std::multiset<TimePoint> startTimes; // Send times of the requests in flight.
@@ -222,6 +242,11 @@
     double estimatedOtherInstancesLoad(const Server&, TimePoint now) const;
     double slowness(const Server&, Duration expected, TimePoint now) const;
     bool hasColdToken(Server&, TimePoint now) const;
+    /** Time until the server's limit lets another request of this instance through, behind the queued ones that wait
+     * for the server. Empty if this instance has no part of the limit. */
+    std::optional<Duration> limitWait(Server&, TimePoint now) const;
+    /** Slots of the server that requests can keep busy. */
+    double usedSlots(const Server&) const noexcept;
     /** Returns the tokens of the part, with their rate up to date. */
     SendTokens& tokensOf(
         RatePart&, const ListedServer&, double rate, double maximumSenders, std::size_t turn, TimePoint now) const;
@@ -249,6 +274,8 @@
     std::unordered_map<std::uint64_t, Order> m_orders; // By object; cleared when the usable servers change.
     std::map<RegionId, Duration> m_roundTrips;
     double m_maximumShiftShare = 0.15; // The users' bound; replaced by setMaximumShiftShare().
+    LimitBound m_limitBound;
+    double m_meanWorkSeconds = 0; // Smoothed duration of successful requests; 0 before the first one.
     double m_coldRatePerSecond = 1;
     double m_maximumColdSenders = 1;
     std::shared_ptr<const RateDivision> m_division
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -129,6 +129,7 @@
     // In any second a cold server may get its rate times the overage plus the slack.
     double coldOverage = 1.5;
     double coldSlack = 5;
+    LimitBound limit {};
     // Share of a region's requests that may change their region from one 2 s window to the next.
     double maximumShiftShare = 0.15;
 };
@@ -218,6 +219,10 @@
     /** Requests that end servers. All instances exchange the reports. */
     CrashRegistry& crashes() noexcept { return m_crashes; }
     const CrashRegistry& crashes() const noexcept { return m_crashes; }
+    /** Statements of servers on their limits that the other instances have to be told. */
+    std::vector<ServerLimitStatement> limitStatements(TimePoint now) const;
+    /** Applies statements that servers made to other instances. */
+    void learnLimits(const std::vector<ServerLimitStatement>&, TimePoint now);
     /** Records that a server has ended while a request ran there. */
     void serverEnded(const CrashReport&, TimePoint now);
     /** Records that an attempt to confirm the routes, servers and evacuations, which began at @p start, has ended. */
@@ -286,6 +291,7 @@
     void reject(Request&, RejectReason, Duration retryAfter, TimePoint now, SteeringActions&);
     /** Rejects a request without a configuration, a matching route or a valid key. */
     void rejectUnrouted(RequestHandle, const CallerRequest&, RejectReason, Duration retryAfter, SteeringActions&);
+    void logLimit(const BackendServerId&, double perSecond, bool isFromPeer) const;
     void recordSendResult(Request&, const SendReport&, TimePoint now);
     void updateWorkTimes(Request&, Duration latency, std::size_t responseBytes);
     /** Whether the route's responses have been large so far. */
--- a/libs/steering/src/RateDivision.cpp
+++ b/libs/steering/src/RateDivision.cpp
@@ -13,7 +13,7 @@
 
     // A holder in another region uses the server for what its own region can't serve, and for requests bound to the
     // server's region.
-    constexpr double localWeight = 4;
+    constexpr double localWeight = 16;
 
     std::uint64_t hashOf(const std::string& text, std::uint64_t seed)
     {
--- a/libs/steering/src/ServicePool.cpp
+++ b/libs/steering/src/ServicePool.cpp
@@ -49,6 +49,7 @@
     // A request in flight for more than this many times its expected latency makes its server count as slow before the
     // response arrives.
     constexpr double overdueLatencyRatio = 2.5;
+    constexpr double meanWorkSmoothing = 0.02;
     constexpr Duration minimumExpectedLatency = std::chrono::milliseconds { 20 };
 
     double uniform(std::uint64_t hash) noexcept { return (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53; }
@@ -282,6 +283,9 @@
     const bool isCold = server.info.coldUntil > now;
     if (isCold && !hasColdToken(server, now))
         return;
+    const auto untilAllowed = limitWait(server, now);
+    if (!untilAllowed)
+        return;
     const auto slots = static_cast<double>(server.info.slots);
     const auto taken = occupancy(server, now);
     const auto ahead = taken + server.claims;
@@ -300,13 +304,14 @@
     const auto work = toSeconds(query.coldWork) * (1 - warmProbability) + toSeconds(query.warmWork) * warmProbability;
     const auto pace = slowness(server, query.coldWork, now);
     const auto limit = slots + m_options.waitingLimitPerServer;
-    const auto wait = std::max(0.0, ahead + 1 - limit) / slots * toSeconds(query.warmWork) * pace;
+    const auto slotWait = std::max(0.0, ahead + 1 - limit) / slots * toSeconds(query.warmWork) * pace;
+    const auto wait = std::max(slotWait, toSeconds(*untilAllowed));
     // Cold work takes slot time from other requests. This costs more the fuller the server is.
     const auto waste
         = (1 - warmProbability) * toSeconds(query.coldWork - query.warmWork) * std::min(1.0, taken / slots);
     const auto total = wait + work * pace + waste + toSeconds(roundTrip(server.info.region))
         + server.failureShare * toSeconds(failureTimeCost);
-    const bool hasFreeSlot = taken + 1 <= limit + 1e-9 && server.claims == 0;
+    const bool hasFreeSlot = taken + 1 <= limit + 1e-9 && server.claims == 0 && *untilAllowed <= Duration { 0 };
     // Of servers with equal cost, the emptier one is preferred.
     const auto score = total + 0.02 * taken / slots;
     const auto bestScore = best.server ? toSeconds(best.expected) : std::numeric_limits<double>::infinity();
@@ -375,6 +380,8 @@
     server.startTimes.insert(now);
     if (server.info.coldUntil > now)
         server.coldPart.tokens.take();
+    if (server.limit.isSet())
+        server.limitPart.tokens.take();
     if (!object)
         return;
     if (server.warmObjects.size() >= maximumWarmObjectsPerServer)
@@ -414,6 +421,9 @@
     }
     switch (result) {
     case DispatchResult::Succeeded: {
+        const auto work = std::max(0.0, toSeconds(latency - roundTrip(server.info.region)));
+        m_meanWorkSeconds
+            = m_meanWorkSeconds > 0 ? m_meanWorkSeconds + meanWorkSmoothing * (work - m_meanWorkSeconds) : work;
         const auto reference = toSeconds(std::max(expected + roundTrip(server.info.region), minimumExpectedLatency));
         const auto ratio = std::clamp(toSeconds(latency) / reference, 0.2, maximumSlowness);
         // A single slow response may be due to a cold object. Two in a row indicate a slow server.
@@ -456,7 +466,44 @@
 bool ServicePool::limitStated(const BackendServerId& id, double perSecond, TimePoint sent, TimePoint now)
 {
     const auto it = m_servers.find(id);
-    return it != m_servers.end() && it->second->limit.state(perSecond, sent, now);
+    // Requests that were sent to an earlier start of the server say nothing about this one.
+    return it != m_servers.end() && sent >= it->second->knownSince && it->second->limit.state(perSecond, sent, now);
+}
+
+bool ServicePool::learnLimit(const ServerLimitStatement& statement, TimePoint now)
+{
+    const auto it = m_servers.find(statement.server);
+    return it != m_servers.end() && it->second->info.incarnation == statement.incarnation
+        && it->second->limit.learn(statement, now);
+}
+
+std::vector<ServerLimitStatement> ServicePool::limitStatements(TimePoint now) const
+{
+    std::vector<ServerLimitStatement> statements;
+    for (const auto& [id, server] : m_servers) {
+        if (server->isListed && server->limit.isToBeTold(now))
+            statements.push_back({ id, server->info.incarnation, server->limit.perSecond(), server->limit.age(now) });
+    }
+    return statements;
+}
+
+std::optional<Duration> ServicePool::limitWait(Server& server, TimePoint now) const
+{
+    if (!server.limit.isSet())
+        return Duration { 0 };
+    // Each instance with a part of the limit may have one request ready in addition to the rate. Half of the room is
+    // left for instances that differ about who lives.
+    const auto rate = server.limit.rate();
+    const auto room = (m_limitBound.overage - 1) * rate * toSeconds(m_limitBound.window) + m_limitBound.slack;
+    return tokensOf(server.limitPart, server.info, rate, room / 2, server.limit.turn(now), now)
+        .wait(server.claims, now);
+}
+
+double ServicePool::usedSlots(const Server& server) const noexcept
+{
+    const auto slots = static_cast<double>(server.info.slots);
+    return server.limit.isSet() && m_meanWorkSeconds > 0 ? std::min(slots, server.limit.perSecond() * m_meanWorkSeconds)
+                                                         : slots;
 }
 
 void ServicePool::eject(Server& server, TimePoint now)
@@ -504,7 +551,7 @@
             taken += occupancy(*server, now) + server->claims;
     }
     const auto slots = localSlots();
-    return slots == 0 ? 1 : taken / slots;
+    return slots <= 0 ? 1 : taken / slots;
 }
 
 std::size_t ServicePool::limitedServers() const noexcept
@@ -513,19 +560,19 @@
         [](const auto& it) { return it.second->isListed && it.second->limit.isSet(); }));
 }
 
-std::uint32_t ServicePool::localSlots() const noexcept
+double ServicePool::localSlots() const noexcept
 {
-    std::uint32_t slots = 0;
+    double slots = 0;
     for (const auto& [id, server] : m_servers)
-        slots += isLocal(*server) && isUsable(*server) ? server->info.slots : 0;
+        slots += isLocal(*server) && isUsable(*server) ? usedSlots(*server) : 0;
     return slots;
 }
 
-std::uint32_t ServicePool::slots() const noexcept
+double ServicePool::slots() const noexcept
 {
-    std::uint32_t slots = 0;
+    double slots = 0;
     for (const auto& [id, server] : m_servers)
-        slots += isUsable(*server) ? server->info.slots : 0;
+        slots += isUsable(*server) ? usedSlots(*server) : 0;
     return slots;
 }
 
@@ -547,8 +594,9 @@
     for (const auto& [id, server] : m_servers) {
         if (!isUsable(*server))
             continue;
-        slots[server->info.region] += server->info.slots;
-        allSlots += server->info.slots;
+        const auto used = usedSlots(*server);
+        slots[server->info.region] += used;
+        allSlots += used;
     }
     double allOffered = 0;
     for (const auto& [region, offered] : m_offeredLoad.byRegion)
@@ -590,7 +638,7 @@
     for (const auto& [region, amount] : m_offeredLoad.byRegion)
         offered += amount;
     const auto all = slots();
-    return all == 0 ? 1 : offered / all;
+    return all <= 0 ? 1 : offered / all;
 }
 
 void ServicePool::tick(TimePoint now, bool hasUnservedRequests)
@@ -603,7 +651,7 @@
     m_nextSpillStep = now + m_options.spillInterval;
     if (m_offeredLoad.largeShare > 0)
         m_keepsLarge = std::min(1.0, m_keepsLarge + keepsLargeStep);
-    if (localSlots() == 0)
+    if (localSlots() <= 0)
         return; // choose() uses the other regions. The shares are kept for when local servers are back.
     // Random variation, slow servers and cold objects take slot time that the offered load does not include. If all
     // regions are short of slots, spilling more requests would only move the shortage.
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -229,7 +229,7 @@
     std::vector<LocalServiceLoad> result;
     for (const auto& [id, entry] : m_services) {
         const auto slots = entry->pool.localSlots();
-        result.push_back({ id, slots, entry->pool.localOccupancy(now) * slots,
+        result.push_back({ id, static_cast<std::uint32_t>(std::lround(slots)), entry->pool.localOccupancy(now) * slots,
             static_cast<std::uint32_t>(entry->queue.size()), entry->offeredLoad.perSecond() });
     }
     return result;
@@ -262,6 +262,7 @@
             applyColdRate(entry->pool, description->coldRequestsPerSecond);
         entry->pool.setEvacuated(m_evacuated);
         entry->pool.setMaximumShiftShare(m_options.bounds.maximumShiftShare);
+        entry->pool.setLimitBound(m_options.bounds.limit);
         entry->retries.setLimits(m_options.bounds.retryShare,
             m_options.bounds.retrySlack / static_cast<double>(std::max<std::size_t>(m_instances.size(), 1)));
     }
@@ -386,6 +387,32 @@
             .add("isolated", m_crashes.isIsolated(report.content)));
 }
 
+std::vector<ServerLimitStatement> TrafficSteering::limitStatements(TimePoint now) const
+{
+    std::vector<ServerLimitStatement> statements;
+    for (const auto& [id, entry] : m_services) {
+        for (auto& statement : entry->pool.limitStatements(now))
+            statements.push_back(std::move(statement));
+    }
+    return statements;
+}
+
+void TrafficSteering::learnLimits(const std::vector<ServerLimitStatement>& statements, TimePoint now)
+{
+    for (const auto& statement : statements) {
+        for (const auto& [id, entry] : m_services) {
+            if (entry->pool.learnLimit(statement, now))
+                logLimit(statement.server, statement.perSecond, true);
+        }
+    }
+}
+
+void TrafficSteering::logLimit(const BackendServerId& server, double perSecond, bool isFromPeer) const
+{
+    m_log.write(LogLevel::Info,
+        LogLine("server_limit").add("server", server).add("per_second", perSecond).add("from_peer", isFromPeer));
+}
+
 std::size_t TrafficSteering::limitedServers() const noexcept
 {
     std::size_t count = 0;
@@ -647,10 +674,8 @@
     // Only at the object's first choice is a warm run likely enough that a long latency indicates a slow server.
     const bool isSurelyWarm = !request.object || request.warmReason == WarmReason::FirstChoice;
     const auto expected = isSurelyWarm ? request.expectedWork : query(request).coldWork;
-    if (report.requestLimit && pool.limitStated(server, *report.requestLimit, request.sentAt, now)) {
-        m_log.write(
-            LogLevel::Info, LogLine("server_limit").add("server", server).add("per_second", *report.requestLimit));
-    }
+    if (report.requestLimit && pool.limitStated(server, *report.requestLimit, request.sentAt, now))
+        logLimit(server, *report.requestLimit, false);
     pool.finished(server, report.result, now - request.sentAt, expected, report.load, now);
     if (report.result == DispatchResult::Succeeded) {
         const auto* info = pool.find(server);
--- a/libs/steering/tests/LimitedFleet.h
+++ b/libs/steering/tests/LimitedFleet.h
@@ -45,7 +45,7 @@
 
     /** Sets the limit that the server names from now on. */
     void setLimit(std::size_t server, double perSecond) { m_limits[m_servers[server].id] = perSecond; }
-    void setWork(Duration work) { m_work = work; }
+    void clearLimit(std::size_t server) { m_limits.erase(m_servers[server].id); }
     /** The instance starts anew and knows nothing. */
     void restart(std::size_t instance)
     {
@@ -58,6 +58,8 @@
     {
         const auto end = m_now + time;
         for (; m_now < end; m_now += step) {
+            if (m_now >= m_nextExchange)
+                exchangeLimits();
             for (; m_nextRequest <= m_now; m_nextRequest += fromSeconds(m_requestGap(m_random)))
                 beginRequest();
             while (!m_runs.empty() && m_runs.begin()->first <= m_now) {
@@ -78,14 +80,17 @@
         double worst = -std::numeric_limits<double>::infinity();
         if (it == m_arrivals.end())
             return worst;
-        std::deque<TimePoint> inWindow;
+        std::deque<Arrival> inWindow;
         for (const auto& arrival : it->second) {
             if (arrival.at < from || !arrival.wasTold)
                 continue;
-            inWindow.push_back(arrival.at);
-            while (arrival.at - inWindow.front() >= window)
+            inWindow.push_back(arrival);
+            while (arrival.at - inWindow.front().at >= window)
                 inWindow.pop_front();
-            worst = std::max(worst, static_cast<double>(inWindow.size()) - (1.5 * arrival.limit * 4 + 5));
+            const auto limit = std::max_element(inWindow.begin(), inWindow.end(), [](const auto& a, const auto& b) {
+                return a.limit < b.limit;
+            })->limit;
+            worst = std::max(worst, static_cast<double>(inWindow.size()) - (1.5 * limit * 4 + 5));
         }
         return worst;
     }
@@ -105,6 +110,7 @@
 
 private:
     static constexpr Duration step = std::chrono::milliseconds { 20 };
+    static constexpr Duration work = std::chrono::milliseconds { 120 };
 
     struct Instance {
         InstanceId id;
@@ -162,6 +168,22 @@
             instance.steering->setInstances(all);
     }
 
+    /** Each instance gets the statements of the others about as late as heartbeats bring them. */
+    void exchangeLimits()
+    {
+        constexpr Duration interval = std::chrono::milliseconds { 500 };
+        m_nextExchange = m_now + interval;
+        for (auto& statement : m_exchanged)
+            statement.age += interval;
+        for (auto& instance : m_instances)
+            instance.steering->learnLimits(m_exchanged, m_now);
+        m_exchanged.clear();
+        for (const auto& instance : m_instances) {
+            for (const auto& statement : instance.steering->limitStatements(m_now))
+                m_exchanged.push_back(statement);
+        }
+    }
+
     void beginRequest()
     {
         const auto index = m_random() % m_instances.size();
@@ -182,7 +204,7 @@
                 const auto it = told.find(send->server);
                 m_arrivals[send->server].push_back({ m_now, limit(send->server),
                     it != told.end() && m_now - it->second >= std::chrono::milliseconds { 500 } });
-                m_runs.emplace(m_now + m_work, Run { index, m_instances[index].starts, send->request, send->server });
+                m_runs.emplace(m_now + work, Run { index, m_instances[index].starts, send->request, send->server });
             } else if (std::holds_alternative<DeliverResponse>(action)) {
                 ++m_answered;
             } else if (std::holds_alternative<RejectRequest>(action)) {
@@ -212,9 +234,10 @@
     NullEventLog m_log;
     std::mt19937_64 m_random;
     std::exponential_distribution<double> m_requestGap { 1 };
-    Duration m_work = std::chrono::milliseconds { 120 };
     TimePoint m_now { std::chrono::seconds { 1'000 } };
     TimePoint m_nextRequest = m_now;
+    TimePoint m_nextExchange = m_now;
+    std::vector<ServerLimitStatement> m_exchanged; // On their way.
     std::vector<ListedServer> m_servers;
     std::map<BackendServerId, double> m_limits;
     std::vector<Instance> m_instances;
--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -171,6 +171,21 @@
         return { WorkspaceId { nonEmptyName(from.workspace()) }, boundedRate(from.requests_per_second()) };
     }
 
+    void write(const ServerLimitReport& from, proto::ServerLimit& to)
+    {
+        to.set_server(from.server.value());
+        to.set_incarnation(from.incarnation);
+        to.set_requests_per_second(from.requestsPerSecond);
+        to.set_age_us(microseconds(from.age));
+    }
+
+    ServerLimitReport read(const proto::ServerLimit& from)
+    {
+        require(from.requests_per_second() >= 0, "a limit is no rate");
+        return { BackendServerId { nonEmptyName(from.server()) }, from.incarnation(), from.requests_per_second(),
+            duration(from.age_us()) };
+    }
+
     void write(const ViewVersion& from, proto::ViewVersion& to)
     {
         to.set_content_hash(from.contentHash);
@@ -206,6 +221,8 @@
             write(load, *to.add_loads());
         for (const auto& demand : from.demands)
             write(demand, *to.add_demands());
+        for (const auto& limit : from.limits)
+            write(limit, *to.add_limits());
         to.set_age_us(microseconds(from.age));
     }
 
@@ -230,6 +247,9 @@
         requireBounded(from.demands());
         for (const auto& demand : from.demands())
             to.demands.push_back(read(demand));
+        requireBounded(from.limits());
+        for (const auto& limit : from.limits())
+            to.limits.push_back(read(limit));
         to.age = duration(from.age_us());
         return to;
     }
@@ -325,6 +345,7 @@
             writeAll(from.known, to.mutable_known());
             writeAll(from.loads, to.mutable_loads());
             writeAll(from.demands, to.mutable_demands());
+            writeAll(from.limits, to.mutable_limits());
         }
 
         void operator()(const HeartbeatReply& from) const
@@ -437,6 +458,7 @@
         to.known = readAll<KnownView>(from.known());
         to.loads = readAll<ServiceLoad>(from.loads());
         to.demands = readAll<WorkspaceDemand>(from.demands());
+        to.limits = readAll<ServerLimitReport>(from.limits());
         return to;
     }
 
--- a/libs/wire/tests/CodecTest.cpp
+++ b/libs/wire/tests/CodecTest.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
 #include <random>
 
 namespace peridot {
@@ -31,6 +32,8 @@
         value.store = { true, milliseconds { 250 } };
         value.loads = { { ServiceId { "salonik" }, 8, 3, 1, 2.5 } };
         value.demands = { { WorkspaceId { "kavana" }, 12.25 } };
+        value.limits
+            = { { BackendServerId { "i-2" }, -5, std::numeric_limits<double>::infinity(), milliseconds { 3 } } };
         value.age = milliseconds { 731 };
         return value;
     }
@@ -46,7 +49,8 @@
         const std::vector<KnownView> known { { FailureDomainId { "jadran-b" }, { 12, false } } };
         return {
             envelope(Heartbeat { member("one"), 5, 6, 12, 13, { true, milliseconds { 1 } }, evidence, true, 99, known,
-                { { ServiceId { "salonik" }, 8, 3, 1, 2.5 } }, { { WorkspaceId { "kavana" }, 4.5 } } }),
+                { { ServiceId { "salonik" }, 8, 3, 1, 2.5 } }, { { WorkspaceId { "kavana" }, 4.5 } },
+                { { BackendServerId { "i-1" }, 1'770'000'000'000, 2.7, milliseconds { 40 } } } }),
             envelope(HeartbeatReply { 5, 6, evidence, 13, 12, 11, true, 98, { summary() } }),
             envelope(DigestPull {
                 InstanceId { "one" }, RegionId { "jadran" }, FailureDomainId { "jadran-a" }, 6, 14, true, known }),
@@ -101,6 +105,8 @@
         CPPUNIT_ASSERT(heartbeat.evidence.age == milliseconds { 900 });
         CPPUNIT_ASSERT(heartbeat.loads.front() == (ServiceLoad { ServiceId { "salonik" }, 8, 3, 1, 2.5 }));
         CPPUNIT_ASSERT(heartbeat.demands.front() == (WorkspaceDemand { WorkspaceId { "kavana" }, 4.5 }));
+        CPPUNIT_ASSERT(heartbeat.limits.front()
+            == (ServerLimitReport { BackendServerId { "i-1" }, 1'770'000'000'000, 2.7, milliseconds { 40 } }));
         const auto reply = std::get<HeartbeatReply>(decode(encode(all[1]))->message);
         CPPUNIT_ASSERT(reply.token == 6 && reply.highestVersion == 13 && reply.witnessedVersion == 12);
         CPPUNIT_ASSERT(reply.lowestVersion == 11 && reply.isReachabilityWitnessed && reply.viewHash == 98);
@@ -112,6 +118,7 @@
         CPPUNIT_ASSERT(domain.members == summary().members);
         CPPUNIT_ASSERT(domain.removed == summary().removed);
         CPPUNIT_ASSERT(domain.demands == summary().demands);
+        CPPUNIT_ASSERT(domain.limits == summary().limits);
         CPPUNIT_ASSERT(domain.version == summary().version);
         CPPUNIT_ASSERT(domain.age == summary().age && domain.store.age == summary().store.age && domain.isFull);
         const auto demand = std::get<BudgetDemand>(decode(encode(all[4]))->message);
@@ -169,13 +176,27 @@
         auto badDemand = oneOfEach()[0];
         std::get<Heartbeat>(badDemand.message).demands.front().requestsPerSecond = -1;
         CPPUNIT_ASSERT(!decode(encode(badDemand)).has_value());
+        for (const auto rate : { -1.0, std::numeric_limits<double>::quiet_NaN() }) {
+            auto badLimit = oneOfEach()[0];
+            std::get<Heartbeat>(badLimit.message).limits.front().requestsPerSecond = rate;
+            CPPUNIT_ASSERT(!decode(encode(badLimit)).has_value());
+        }
         auto noDeployment = oneOfEach()[6];
         noDeployment.deployment = DeploymentId {};
         CPPUNIT_ASSERT(!decode(encode(noDeployment)).has_value());
     }
 
     // Four heartbeats and replies a second must stay far below 7 KB/s; 200 bytes each leave room for TCP and budgets.
-    void heartbeatIsCompact() { CPPUNIT_ASSERT(encode(oneOfEach()[0]).size() <= 200); }
+    // Each limit that a server names comes in addition, while the server names it.
+    void heartbeatIsCompact()
+    {
+        auto sample = oneOfEach()[0];
+        const auto withLimit = encode(sample).size();
+        std::get<Heartbeat>(sample.message).limits.clear();
+        const auto size = encode(sample).size();
+        CPPUNIT_ASSERT(size <= 200);
+        CPPUNIT_ASSERT(withLimit - size <= 40);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CodecTest);
