steering: show that callers of an instance without servers are not served

detached-instance-tests runs six instances in simulated time, without network; one or three of them lose all servers, with connections that are refused, silent, or old ones that live on. It asks for two thirds of the share that the other instances serve, from 3 s after the cut on, and that no request runs too often. It fails at once: none of the first tries is served, the others serve all.

--- /dev/null
+++ b/libs/steering/tests/DetachedInstanceTest.cpp
@@ -0,0 +1,254 @@
+// Entry instances that lose their links to all backend servers while callers and other instances reach them.
+
+#include "SteeringFixtures.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+using namespace peridot;
+using namespace peridot::steering_fixtures;
+
+namespace {
+
+enum class CutKind {
+    Refused, // Connections are reset and new ones refused.
+    Silent, // Nothing comes back.
+    RefusedNew, // Open connections live on, new ones are refused.
+};
+
+/** Instances in simulated time. Callers send each request once, to a random instance. */
+class CutFleet {
+public:
+    CutFleet(std::size_t instances, std::uint64_t seed)
+        : m_random(seed)
+        , m_servers(servers(12, 8))
+    {
+        for (std::size_t i = 0; i < instances; ++i) {
+            auto settings = options();
+            settings.instance = InstanceId("e-" + std::to_string(i));
+            m_instances.push_back({ std::make_unique<TrafficSteering>(settings, m_random(), m_log), {} });
+            auto& steering = *m_instances.back().steering;
+            steering.setRoutes(*RouteTable::create(data()));
+            steering.setServers(m_servers, m_now);
+        }
+        publishInstances();
+    }
+
+    void cut(std::size_t instance, CutKind kind) { m_instances[instance].cut = kind; }
+    void mend(std::size_t instance) { m_instances[instance].cut.reset(); }
+
+    void run(Duration time)
+    {
+        const auto end = m_now + time;
+        for (; m_now < end; m_now += 10ms) {
+            if (m_now >= m_nextPublish) {
+                publishInstances();
+                m_nextPublish = m_now + 500ms;
+            }
+            for (int i = 0; i < 3; ++i)
+                beginRequest();
+            while (!m_events.empty() && m_events.begin()->first <= m_now)
+                m_events.extract(m_events.begin()).mapped()();
+            for (std::size_t i = 0; i < m_instances.size(); ++i)
+                perform(i, m_instances[i].steering->tick(m_now));
+        }
+    }
+
+    struct Share {
+        double served = 0;
+        double sent = 0;
+        double value() const { return sent > 0 ? served / sent : 0; }
+    };
+    /** First tries that callers sent to the instance since @p from and until 1 s ago. */
+    Share share(std::size_t instance, TimePoint from) const
+    {
+        Share share;
+        for (const auto& [id, request] : m_requests) {
+            if (request.instance != instance || request.sent < from || request.sent > m_now - 1s)
+                continue;
+            share.sent += 1;
+            share.served += request.isServed ? 1 : 0;
+        }
+        return share;
+    }
+    /** Requests that ran more often than they may. */
+    std::size_t repeatedRuns() const
+    {
+        return static_cast<std::size_t>(std::count_if(m_requests.begin(), m_requests.end(),
+            [](const auto& it) { return it.second.runs > (it.second.isIdempotent ? 2U : 1U); }));
+    }
+    TimePoint now() const noexcept { return m_now; }
+    TrafficSteering& steering(std::size_t instance) { return *m_instances[instance].steering; }
+
+private:
+    struct Instance {
+        std::unique_ptr<TrafficSteering> steering;
+        std::optional<CutKind> cut;
+    };
+
+    struct Request {
+        std::size_t instance = 0;
+        TimePoint sent;
+        CallerRequest message;
+        bool isIdempotent = true;
+        bool isServed = false;
+        unsigned runs = 0;
+    };
+
+    /** A request at an instance, and where its answer goes: to the caller or to the instance that passed it on. */
+    struct Handling {
+        std::uint64_t request = 0;
+        std::optional<std::pair<std::size_t, RequestHandle>> passedBy;
+    };
+
+    void publishInstances()
+    {
+        std::vector<EntryInstance> all;
+        for (std::size_t i = 0; i < m_instances.size(); ++i)
+            all.push_back({ InstanceId("e-" + std::to_string(i)), jadran });
+        for (auto& instance : m_instances)
+            instance.steering->setInstances(all);
+    }
+
+    void at(TimePoint time, std::function<void()> event) { m_events.emplace(time, std::move(event)); }
+
+    void beginRequest()
+    {
+        const auto index = m_random() % m_instances.size();
+        const auto id = ++m_lastRequest;
+        auto& it = m_requests[id];
+        it.instance = index;
+        it.sent = m_now;
+        it.isIdempotent = m_random() % 2 == 0;
+        it.message = request(it.isIdempotent ? "/lookup/" : "/book/", m_random() % 200);
+        begin(index, { id, {} }, it.message);
+    }
+
+    void begin(std::size_t index, Handling handling, const CallerRequest& message)
+    {
+        const auto handle = ++m_lastHandle;
+        m_handlings[handle] = handling;
+        perform(index, m_instances[index].steering->begin(handle, message, m_now));
+    }
+
+    void perform(std::size_t index, const SteeringActions& actions)
+    {
+        for (const auto& action : actions)
+            std::visit([&](const auto& it) { perform(index, it); }, action);
+    }
+
+    void perform(std::size_t index, const SendToServer& send)
+    {
+        const auto handle = send.request;
+        const auto cut = m_instances[index].cut;
+        if (!cut) {
+            ++m_requests[m_handlings[handle].request].runs;
+            m_open.insert(handle);
+            at(m_now + 120ms, [this, index, handle] {
+                // A cut that began meanwhile takes the response.
+                const auto kind = m_instances[index].cut;
+                if (!m_open.erase(handle) || kind == CutKind::Silent)
+                    return;
+                finish(index, handle, kind == CutKind::Refused ? DispatchResult::Broken : DispatchResult::Succeeded);
+            });
+        } else if (*cut == CutKind::Silent) {
+            m_open.insert(handle);
+            if (m_random() % 2) // On a new connection.
+                at(m_now + 1s, [this, index, handle] {
+                    if (m_open.erase(handle))
+                        finish(index, handle, DispatchResult::NotSent);
+                });
+        } else {
+            m_open.insert(handle);
+            at(m_now + 10ms, [this, index, handle] {
+                if (m_open.erase(handle))
+                    finish(index, handle, DispatchResult::NotSent);
+            });
+        }
+    }
+
+    void perform(std::size_t, const CancelSend& cancel) { m_open.erase(cancel.request); }
+
+    void perform(std::size_t, const DeliverResponse& deliver) { answer(deliver.request, true); }
+
+    void perform(std::size_t, const RejectRequest& reject) { answer(reject.request, false); }
+
+    void answer(RequestHandle handle, bool isServed)
+    {
+        const auto handling = m_handlings[handle];
+        if (!handling.passedBy) {
+            m_requests[handling.request].isServed = isServed;
+            return;
+        }
+        m_requests[handling.request].isServed = isServed;
+        const auto [index, passed] = *handling.passedBy;
+        at(m_now + 10ms, [this, index = index, passed = passed] {
+            if (m_open.erase(passed))
+                finish(index, passed, DispatchResult::Succeeded);
+        });
+    }
+
+    void finish(std::size_t index, RequestHandle handle, DispatchResult result)
+    {
+        SendReport report;
+        report.result = result;
+        if (result == DispatchResult::Succeeded && m_random() % 4 == 0 && !m_instances[index].cut)
+            report.connectTime = 1ms;
+        perform(index, m_instances[index].steering->finished(handle, report, m_now));
+    }
+
+    NullEventLog m_log;
+    std::mt19937_64 m_random;
+    TimePoint m_now = start;
+    TimePoint m_nextPublish = start;
+    std::vector<ListedServer> m_servers;
+    std::vector<Instance> m_instances;
+    std::map<std::uint64_t, Request> m_requests;
+    std::map<RequestHandle, Handling> m_handlings;
+    std::set<RequestHandle> m_open; // Sends without a result.
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    std::uint64_t m_lastRequest = 0;
+    RequestHandle m_lastHandle = 0;
+};
+
+}
+
+class DetachedInstanceTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(DetachedInstanceTest);
+    CPPUNIT_TEST(callersOfAnInstanceWithoutServersAreServed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Callers keep using an instance that reaches no server, because they keep connections and lookups. */
+    void callersOfAnInstanceWithoutServersAreServed()
+    {
+        for (const auto kind : { CutKind::Refused, CutKind::Silent, CutKind::RefusedNew }) {
+            for (const std::size_t cuts : { 1, 3 }) {
+                CutFleet fleet(6, 1);
+                fleet.run(3s);
+                for (std::size_t i = 0; i < cuts; ++i)
+                    fleet.cut(i, kind);
+                const auto began = fleet.now();
+                fleet.run(12s);
+                double others = 0;
+                for (std::size_t i = cuts; i < 6; ++i)
+                    others += fleet.share(i, began + 3s).value() / static_cast<double>(6 - cuts);
+                for (std::size_t i = 0; i < cuts; ++i) {
+                    const auto own = fleet.share(i, began + 3s).value();
+                    CPPUNIT_ASSERT_MESSAGE("served " + std::to_string(own) + ", others " + std::to_string(others),
+                        own >= others * 2 / 3 && others > 0.9);
+                }
+                CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fleet.repeatedRuns());
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DetachedInstanceTest);
