--- a/libs/entry/include/entry/CallerProtocol.h
+++ b/libs/entry/include/entry/CallerProtocol.h
@@ -29,6 +29,13 @@
     virtual tl::expected<CallerRequest, HttpResponse> read(const HttpRequest&) const = 0;
     /** Returns the request to send to the chosen server. It must not contain the caller's key. */
     virtual HttpRequest requestToServer(const HttpRequest&, const SendToServer&) const = 0;
+    /** Returns the request to pass to another entry instance, which handles it as one that the caller sent there. It
+     *  states that it was passed on. */
+    virtual HttpRequest requestToInstance(const HttpRequest&, const PassToInstance&) const = 0;
+    /** Decides whether a response that another entry instance returned belongs to the request with this id. */
+    virtual ResponseVerdict checkFromInstance(const HttpResponse&, const std::string& requestId) const = 0;
+    /** Converts the response of another entry instance to the response for the caller. */
+    virtual HttpResponse instanceResponseToCaller(HttpResponse) const = 0;
     /** Decides whether a response that was read from the connection belongs to the request with this id. On a reused
      *  connection, a late copy of an earlier response may arrive first. */
     virtual ResponseVerdict check(const HttpResponse&, const std::string& requestId, bool isConnectionReused) const = 0;
--- a/libs/entry/include/entry/InstanceGroup.h
+++ b/libs/entry/include/entry/InstanceGroup.h
@@ -46,6 +46,8 @@
     /** Sets the entry instances that are listed in the store. */
     void setListedInstances(const std::vector<PlatformInstance>&);
     void setState(InstanceState);
+    /** Sets whether this instance reaches no backend server. */
+    void setDetached(bool isDetached) { m_membership.setDetached(isDetached); }
     /** Sets the callers' demand on this instance, in requests per second by workspace. */
     void setDemands(const std::map<WorkspaceId, double>&);
     /** Sets the load of the backend servers in this instance's region, by service, as this instance measures it. */
--- a/libs/entry/include/entry/RequestGateway.h
+++ b/libs/entry/include/entry/RequestGateway.h
@@ -23,7 +23,9 @@
 /** Not thread-safe: runs on the thread of the io_context. */
 class RequestGateway {
 public:
-    RequestGateway(boost::asio::io_context&, TrafficSteering&, const CallerProtocol&, ServerConnections&, EventLog&);
+    /** @p peers are the connections to other entry instances. */
+    RequestGateway(boost::asio::io_context&, TrafficSteering&, const CallerProtocol&, ServerConnections& servers,
+        ServerConnections& peers, EventLog&);
     ~RequestGateway();
     RequestGateway(const RequestGateway&) = delete;
     RequestGateway& operator=(const RequestGateway&) = delete;
@@ -40,6 +42,7 @@
         std::shared_ptr<HttpExchange> exchange;
         std::string id;
         std::shared_ptr<ClientConnection> connection; // Connection of the running send; null if none is running.
+        bool isAtPeer = false; // The last send passed the request to another entry instance.
         std::optional<HttpResponse> response; // Response of the last finished send, if there was one.
         std::uint64_t content = 0; // As in CallerRequest.
         BackendServerId server; // Server of the last send, and its address.
@@ -51,9 +54,13 @@
 
     void perform(const SteeringActions&);
     void perform(const SendToServer&);
+    void perform(const PassToInstance&);
+    void perform(const ProbeServer&);
     void perform(const CancelSend&);
     void perform(const DeliverResponse&);
     void perform(const RejectRequest&);
+    void reportNotSent(RequestHandle, std::string detail);
+    void passFinished(RequestHandle, const std::shared_ptr<ClientConnection>&, ExchangeResult);
     void sendFinished(RequestHandle, const std::shared_ptr<ClientConnection>&, ExchangeResult);
     /** Reports to TrafficSteering if the server of the request's last send, which ended without a response, has ended.
      */
@@ -67,6 +74,7 @@
     TrafficSteering& m_steering;
     const CallerProtocol& m_protocol;
     ServerConnections& m_connections;
+    ServerConnections& m_peers;
     EventLog& m_log;
     boost::asio::steady_timer m_tickTimer;
     std::unordered_map<RequestHandle, OpenRequest> m_requests;
--- a/libs/entry/include/entry/ServerConnections.h
+++ b/libs/entry/include/entry/ServerConnections.h
@@ -27,9 +27,15 @@
     // Upper bound on the idle time of a connection that is reused for a non-idempotent request. Such a request is not
     // repeated if the connection breaks.
     Duration maximumSafeIdleTime = std::chrono::seconds { 3 };
-    // Time within which a host refuses a connection to the port of a process that has ended. Round trips between
-    // regions take up to about 100 ms.
-    Duration endCheckTimeout = std::chrono::milliseconds { 300 };
+    // Of tryConnect(): time within which a host accepts or refuses a connection. Round trips between regions take up to
+    // about 100 ms.
+    Duration attemptTimeout = std::chrono::milliseconds { 300 };
+};
+
+enum class ConnectOutcome {
+    Connected,
+    Refused, // No process listens at the address.
+    Failed, // It took too long or broke, for whatever reason.
 };
 
 /** Not thread-safe. */
@@ -50,12 +56,10 @@
     /** Reports that a reused connection broke during a request, after it had been idle for @p idleTime. Lowers the idle
      *  time up to which connections are reused for non-idempotent requests. */
     void onIdleConnectionBroken(Duration idleTime);
-    /** Finds out whether the process that listened on @p address has ended, by a connection that is closed at once.
-     * Only a refused connection counts as ended, because a connection that breaks or takes long may have other reasons.
-     * The handler is called later, unless this object is destroyed before. Checks of one address that is being checked
-     *  share the result. */
-    void checkEnded(const std::string& address, std::function<void(bool hasEnded)> onResult);
-    /** Number of open and connecting connections to all servers, without those of checkEnded(). */
+    /** Opens a connection to @p address and closes it at once. The handler is called later, unless this object is
+     *  destroyed before. Attempts at one address at the same time share the result. */
+    void tryConnect(const std::string& address, std::function<void(ConnectOutcome)> onResult);
+    /** Number of open and connecting connections to all servers, without those of tryConnect(). */
     std::size_t count() const noexcept;
 
 private:
@@ -65,8 +69,8 @@
         std::vector<std::shared_ptr<ClientConnection>> idle; // In the order in which they became idle, the latest last.
     };
 
-    struct EndCheck {
-        explicit EndCheck(boost::asio::io_context& context)
+    struct ConnectAttempt {
+        explicit ConnectAttempt(boost::asio::io_context& context)
             : socket(context)
             , timer(context)
         {
@@ -74,10 +78,10 @@
 
         boost::asio::ip::tcp::socket socket;
         boost::asio::steady_timer timer;
-        std::vector<std::function<void(bool)>> handlers;
+        std::vector<std::function<void(ConnectOutcome)>> handlers;
     };
 
-    void endCheckFinished(const std::string& address, const std::shared_ptr<EndCheck>&, bool hasEnded);
+    void attemptFinished(const std::string& address, const std::shared_ptr<ConnectAttempt>&, ConnectOutcome);
     /** Idle time up to which the connection may be reused for a request of this kind. */
     Duration maximumIdleTime(const ClientConnection&, bool isIdempotent) const;
     std::shared_ptr<ClientConnection> open(const BackendServerId&, Server&);
@@ -86,7 +90,7 @@
     const ServerConnectionsOptions m_options;
     std::size_t m_limit = 32;
     std::map<BackendServerId, Server> m_servers;
-    std::map<std::string, std::shared_ptr<EndCheck>> m_endChecks; // Running checks by address.
+    std::map<std::string, std::shared_ptr<ConnectAttempt>> m_attempts; // Of tryConnect(), by address.
     // Maximum idle time of a connection that is reused for a non-idempotent request. It is lowered when servers close
     // idle connections early, and grows again with each sweep().
     Duration m_safeIdleTime;
--- a/libs/entry/src/MetricsPage.cpp
+++ b/libs/entry/src/MetricsPage.cpp
@@ -71,6 +71,7 @@
         static_cast<double>(counters.warmSends));
     counter("peridot_spills_total", "Sends to another region.", static_cast<double>(counters.spills));
     counter("peridot_retries_total", "Requests sent again.", static_cast<double>(counters.retries));
+    counter("peridot_passed_total", "Requests passed to other instances.", static_cast<double>(counters.passed));
     counter("peridot_callers_gone_total", "Callers that left before their answer.",
         static_cast<double>(counters.callerDisconnects));
     for (const auto& [reason, count] : counters.rejected)
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -39,11 +39,12 @@
 }
 
 RequestGateway::RequestGateway(asio::io_context& context, TrafficSteering& steering, const CallerProtocol& protocol,
-    ServerConnections& connections, EventLog& log)
+    ServerConnections& servers, ServerConnections& peers, EventLog& log)
     : m_context(context)
     , m_steering(steering)
     , m_protocol(protocol)
-    , m_connections(connections)
+    , m_connections(servers)
+    , m_peers(peers)
     , m_log(log)
     , m_tickTimer(context)
 {
@@ -117,14 +118,11 @@
     auto& request = it->second;
     auto connection = m_connections.acquire(send.server, send.address, send.isIdempotent);
     if (!connection) {
-        asio::post(m_context, [this, handle = send.request] {
-            report(handle,
-                { DispatchResult::NotSent, {}, {},
-                    "connection limit of the server reached or server address invalid" });
-        });
+        reportNotSent(send.request, "connection limit of the server reached or server address invalid");
         return;
     }
     request.connection = connection;
+    request.isAtPeer = false;
     request.server = send.server;
     request.address = send.address;
     connection->send(
@@ -135,6 +133,62 @@
             ExchangeResult result) { sendFinished(handle, connection, std::move(result)); });
 }
 
+void RequestGateway::reportNotSent(RequestHandle handle, std::string detail)
+{
+    asio::post(m_context, [this, isAlive = m_isAlive, handle, detail = std::move(detail)] {
+        if (*isAlive)
+            report(handle, { DispatchResult::NotSent, {}, {}, detail });
+    });
+}
+
+void RequestGateway::perform(const PassToInstance& pass)
+{
+    const auto it = m_requests.find(pass.request);
+    if (it == m_requests.end())
+        return;
+    auto& request = it->second;
+    auto connection = m_peers.acquire(BackendServerId(pass.instance.value()), pass.address, pass.isIdempotent);
+    if (!connection) {
+        reportNotSent(pass.request, "connection limit of the instance reached or instance address invalid");
+        return;
+    }
+    request.connection = connection;
+    request.isAtPeer = true;
+    connection->send(
+        m_protocol.requestToInstance(request.exchange->request, pass),
+        [this, id = request.id](const HttpResponse& response) { return m_protocol.checkFromInstance(response, id); },
+        [this, handle = pass.request, connection](
+            ExchangeResult result) { passFinished(handle, connection, std::move(result)); });
+}
+
+void RequestGateway::passFinished(
+    RequestHandle handle, const std::shared_ptr<ClientConnection>& connection, ExchangeResult result)
+{
+    const auto it = m_requests.find(handle);
+    if (it == m_requests.end() || it->second.connection != connection)
+        return;
+    it->second.connection.reset();
+    SendReport sendReport;
+    if (result) {
+        it->second.response = std::move(*result);
+    } else {
+        const auto& error = result.error();
+        sendReport.result = error.wasSent ? DispatchResult::Broken : DispatchResult::NotSent;
+        sendReport.detail = error.message;
+        if (error.wasSent && error.wasReused && !error.isMalformed)
+            m_peers.onIdleConnectionBroken(error.idleTime);
+    }
+    report(handle, sendReport);
+}
+
+void RequestGateway::perform(const ProbeServer& probe)
+{
+    m_connections.tryConnect(probe.address, [this, isAlive = m_isAlive, round = probe.round](ConnectOutcome outcome) {
+        if (*isAlive)
+            perform(m_steering.probed(round, outcome == ConnectOutcome::Connected, steadyNow()));
+    });
+}
+
 void RequestGateway::sendFinished(
     RequestHandle handle, const std::shared_ptr<ClientConnection>& connection, ExchangeResult result)
 {
@@ -169,12 +223,12 @@
 
 void RequestGateway::checkServerEnded(const OpenRequest& request)
 {
-    m_connections.checkEnded(request.address,
+    m_connections.tryConnect(request.address,
         [this, isAlive = m_isAlive, report = CrashReport { request.content, request.server },
-            hasResponse = request.hasResponse](bool hasEnded) {
+            hasResponse = request.hasResponse](ConnectOutcome outcome) {
             // The response has removed all reports of the request; a late one must not follow it.
-            if (*isAlive && hasEnded && !*hasResponse)
-                m_steering.serverEnded(report, steadyNow());
+            if (*isAlive && outcome == ConnectOutcome::Refused && !*hasResponse)
+                perform(m_steering.serverEnded(report, steadyNow()));
         });
 }
 
@@ -197,7 +251,10 @@
     const auto it = m_requests.find(deliver.request);
     if (it == m_requests.end() || !it->second.response)
         return;
-    answer(deliver.request, m_protocol.responseToCaller(std::move(*it->second.response)));
+    auto& response = *it->second.response;
+    answer(deliver.request,
+        it->second.isAtPeer ? m_protocol.instanceResponseToCaller(std::move(response))
+                            : m_protocol.responseToCaller(std::move(response)));
 }
 
 void RequestGateway::perform(const RejectRequest& reject) { answer(reject.request, m_protocol.rejection(reject)); }
--- a/libs/entry/src/ServerConnections.cpp
+++ b/libs/entry/src/ServerConnections.cpp
@@ -34,10 +34,10 @@
         for (const auto& connection : server.idle)
             connection->close();
     }
-    for (const auto& [address, check] : m_endChecks) {
+    for (const auto& [address, attempt] : m_attempts) {
         error_code ec;
-        check->socket.close(ec); // The descriptor is released whatever the result.
-        check->timer.cancel();
+        attempt->socket.close(ec); // The descriptor is released whatever the result.
+        attempt->timer.cancel();
     }
 }
 
@@ -122,46 +122,49 @@
     m_safeIdleTime = std::clamp(idleTime / 2, minimumSafeIdleTime, m_safeIdleTime);
 }
 
-void ServerConnections::checkEnded(const std::string& address, std::function<void(bool)> onResult)
+void ServerConnections::tryConnect(const std::string& address, std::function<void(ConnectOutcome)> onResult)
 {
-    auto& check = m_endChecks[address];
-    if (check) {
-        check->handlers.push_back(std::move(onResult));
+    auto& attempt = m_attempts[address];
+    if (attempt) {
+        attempt->handlers.push_back(std::move(onResult));
         return;
     }
-    check = std::make_shared<EndCheck>(m_context);
-    check->handlers.push_back(std::move(onResult));
-    const auto finish = [this, address, check, isAlive = m_isAlive](bool hasEnded) {
+    attempt = std::make_shared<ConnectAttempt>(m_context);
+    attempt->handlers.push_back(std::move(onResult));
+    const auto finish = [this, address, attempt, isAlive = m_isAlive](ConnectOutcome outcome) {
         if (*isAlive)
-            endCheckFinished(address, check, hasEnded);
+            attemptFinished(address, attempt, outcome);
     };
     const auto endpoint = parseEndpoint(address);
     if (!endpoint) {
-        asio::post(m_context, [finish] { finish(false); });
+        asio::post(m_context, [finish] { finish(ConnectOutcome::Failed); });
         return;
     }
-    check->timer.expires_after(m_options.endCheckTimeout);
-    check->timer.async_wait([finish](const error_code& ec) {
+    attempt->timer.expires_after(m_options.attemptTimeout);
+    attempt->timer.async_wait([finish](const error_code& ec) {
         if (!ec)
-            finish(false);
+            finish(ConnectOutcome::Failed);
+    });
+    attempt->socket.async_connect(*endpoint, [finish](const error_code& ec) {
+        finish(!ec                                      ? ConnectOutcome::Connected
+                : ec == asio::error::connection_refused ? ConnectOutcome::Refused
+                                                        : ConnectOutcome::Failed);
     });
-    check->socket.async_connect(
-        *endpoint, [finish](const error_code& ec) { finish(ec == asio::error::connection_refused); });
 }
 
-void ServerConnections::endCheckFinished(
-    const std::string& address, const std::shared_ptr<EndCheck>& check, bool hasEnded)
+void ServerConnections::attemptFinished(
+    const std::string& address, const std::shared_ptr<ConnectAttempt>& attempt, ConnectOutcome outcome)
 {
     // Timer and connection may both be due; the later one finds no check, or that of a later call.
-    const auto it = m_endChecks.find(address);
-    if (it == m_endChecks.end() || it->second != check)
+    const auto it = m_attempts.find(address);
+    if (it == m_attempts.end() || it->second != attempt)
         return;
-    m_endChecks.erase(it);
+    m_attempts.erase(it);
     error_code ec;
-    check->socket.close(ec); // The descriptor is released whatever the result.
-    check->timer.cancel();
-    for (const auto& onResult : std::exchange(check->handlers, {}))
-        onResult(hasEnded);
+    attempt->socket.close(ec); // The descriptor is released whatever the result.
+    attempt->timer.cancel();
+    for (const auto& onResult : std::exchange(attempt->handlers, {}))
+        onResult(outcome);
 }
 
 std::size_t ServerConnections::count() const noexcept
--- a/libs/entry/tests/CrashIsolationTest.cpp
+++ b/libs/entry/tests/CrashIsolationTest.cpp
@@ -131,7 +131,7 @@
 ServerConnectionsOptions optionsWithLongChecks()
 {
     ServerConnectionsOptions options;
-    options.endCheckTimeout = std::chrono::seconds { 4 };
+    options.attemptTimeout = std::chrono::seconds { 4 };
     return options;
 }
 
@@ -290,11 +290,11 @@
         CPPUNIT_ASSERT(first);
         first->end();
         // Shares the check that runs since the connection broke.
-        std::optional<bool> result;
-        harness.connections.checkEnded(
-            "127.0.0.1:" + std::to_string(first->port()), [&](bool hasEnded) { result = hasEnded; });
+        std::optional<ConnectOutcome> result;
+        harness.connections.tryConnect(
+            "127.0.0.1:" + std::to_string(first->port()), [&](ConnectOutcome outcome) { result = outcome; });
         CPPUNIT_ASSERT(harness.runUntil([&] { return result.has_value(); }, std::chrono::milliseconds { 5'000 }));
-        CPPUNIT_ASSERT(result == true);
+        CPPUNIT_ASSERT(result == ConnectOutcome::Refused);
         CPPUNIT_ASSERT(harness.steering.crashes().takeChanges(steadyNow()).added.empty());
     }
 
--- a/libs/entry/tests/GatewayHarness.h
+++ b/libs/entry/tests/GatewayHarness.h
@@ -23,9 +23,22 @@
     tl::expected<CallerRequest, HttpResponse> read(const HttpRequest& request) const override
     {
         const std::string path(request.target());
-        return CallerRequest { path, "a", path, {}, path, Duration { std::chrono::milliseconds { 800 } } };
+        CallerRequest caller { path, "a", path, {}, path, Duration { std::chrono::milliseconds { 800 } } };
+        caller.isPassedOn = request.count("Passed-On") > 0;
+        return caller;
     }
     HttpRequest requestToServer(const HttpRequest& request, const SendToServer&) const override { return request; }
+    HttpRequest requestToInstance(const HttpRequest& request, const PassToInstance&) const override
+    {
+        HttpRequest passed = request;
+        passed.set("Passed-On", "1");
+        return passed;
+    }
+    ResponseVerdict checkFromInstance(const HttpResponse&, const std::string&) const override
+    {
+        return ResponseVerdict::Accept;
+    }
+    HttpResponse instanceResponseToCaller(HttpResponse response) const override { return response; }
     ResponseVerdict check(const HttpResponse&, const std::string&, bool) const override
     {
         return ResponseVerdict::Accept;
@@ -51,7 +64,8 @@
         const SteeringOptions& options = { RegionId("jadran"), {} }, ServerConnectionsOptions connectionsOptions = {})
         : steering(options, 1, log)
         , connections(context, connectionsOptions)
-        , gateway(context, steering, protocol, connections, log)
+        , peers(context, {})
+        , gateway(context, steering, protocol, connections, peers, log)
         , callerServer(context, {}, 100, [this](const auto& exchange) { gateway.handle(exchange); })
         , callerSocket(context)
     {
@@ -127,6 +141,7 @@
     TestProtocol protocol;
     TrafficSteering steering;
     ServerConnections connections;
+    ServerConnections peers;
     RequestGateway gateway;
     HttpServer callerServer; // Accepts the callers' connections of the gateway.
     boost::asio::ip::tcp::socket callerSocket;
--- /dev/null
+++ b/libs/entry/tests/PassedRequestTest.cpp
@@ -0,0 +1,122 @@
+// Requests that an instance without servers passes to another instance, over loopback sockets.
+
+#include "GatewayHarness.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <set>
+#include <string>
+
+using namespace peridot;
+
+namespace {
+
+/** Runs @p harness and @p other until the harness's caller has received @p text. */
+bool receives(CallerAndGateway& harness, CallerAndGateway& other, const std::string& text)
+{
+    return harness.runUntil([&] {
+        other.runUntil([] { return true; }, std::chrono::milliseconds { 1 });
+        other.context.restart();
+        other.context.poll();
+        return harness.received.find(text) != std::string::npos;
+    });
+}
+
+/** Ports at which nothing listens. */
+std::vector<std::uint16_t> closedPorts(std::size_t count)
+{
+    boost::asio::io_context context;
+    std::vector<boost::asio::ip::tcp::acceptor> acceptors;
+    std::vector<std::uint16_t> ports;
+    for (std::size_t i = 0; i < count; ++i) {
+        acceptors.emplace_back(
+            context, boost::asio::ip::tcp::endpoint { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        ports.push_back(acceptors.back().local_endpoint().port());
+    }
+    return ports;
+}
+
+}
+
+class PassedRequestTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(PassedRequestTest);
+    CPPUNIT_TEST(instanceWithoutServersPassesRequests);
+    CPPUNIT_TEST(lostInstanceIsReplacedByAnother);
+    CPPUNIT_TEST_SUITE_END();
+
+    static SteeringOptions options(const std::string& instance)
+    {
+        SteeringOptions options;
+        options.region = RegionId("jadran");
+        options.instance = InstanceId(instance);
+        return options;
+    }
+
+    static std::string addressOf(const CallerAndGateway& harness)
+    {
+        return "127.0.0.1:" + std::to_string(harness.callerServer.port());
+    }
+
+    /** Sends requests until the instance has found out that it reaches no server. */
+    static void detach(CallerAndGateway& harness)
+    {
+        harness.setServers(closedPorts(4));
+        harness.send("/first");
+        CPPUNIT_ASSERT(harness.runUntil([&] { return harness.steering.isDetached(); }));
+        CPPUNIT_ASSERT(harness.runUntil([&] { return harness.gateway.openRequests() == 0; }));
+        harness.received.clear();
+    }
+
+public:
+    /** The caller must get the response of the server, and the server the request, with their bodies. */
+    void instanceWithoutServersPassesRequests()
+    {
+        CallerAndGateway cut(options("e-0"));
+        CallerAndGateway peer(options("e-1"));
+        cut.setRoute(false, 1);
+        peer.setRoute(false, 1);
+        std::string seen;
+        HttpServer server(peer.context, {}, 10, [&](const auto& exchange) {
+            seen = exchange->request.body();
+            exchange->respond(makeResponse(boost::beast::http::status::ok, "text/plain", "from the server"));
+        });
+        CPPUNIT_ASSERT(server.listen("127.0.0.1:0"));
+        peer.setServers({ server.port() });
+        detach(cut);
+        cut.steering.setInstances({ { InstanceId("e-0"), RegionId("jadran"), true, true, {} },
+            { InstanceId("e-1"), RegionId("jadran"), true, false, addressOf(peer) } });
+        cut.send("/book", "two seats", "POST");
+        CPPUNIT_ASSERT_MESSAGE(cut.received, receives(cut, peer, "from the server"));
+        CPPUNIT_ASSERT_EQUAL(std::string("two seats"), seen);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, cut.steering.counters().passed);
+    }
+
+    void lostInstanceIsReplacedByAnother()
+    {
+        CallerAndGateway cut(options("e-0"));
+        CallerAndGateway peer(options("e-1"));
+        cut.setRoute(false, 1);
+        peer.setRoute(false, 1);
+        HttpServer server(peer.context, {}, 10, [&](const auto& exchange) {
+            exchange->respond(makeResponse(boost::beast::http::status::ok, "text/plain", "from the server"));
+        });
+        CPPUNIT_ASSERT(server.listen("127.0.0.1:0"));
+        peer.setServers({ server.port() });
+        detach(cut);
+        const auto gone = "127.0.0.1:" + std::to_string(closedPorts(1).front());
+        cut.steering.setInstances({ { InstanceId("e-0"), RegionId("jadran"), true, true, {} },
+            { InstanceId("e-1"), RegionId("jadran"), true, false, addressOf(peer) },
+            { InstanceId("e-2"), RegionId("jadran"), true, false, gone } });
+        for (int i = 0; i < 8; ++i) {
+            cut.send("/book");
+            CPPUNIT_ASSERT_MESSAGE(cut.received, receives(cut, peer, "from the server"));
+            cut.received.clear();
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PassedRequestTest);
--- a/libs/entry/tests/ServerConnectionsTest.cpp
+++ b/libs/entry/tests/ServerConnectionsTest.cpp
@@ -25,11 +25,12 @@
     return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
 }
 
-/** Runs checkEnded() and returns its result; nothing if there is none within two seconds. */
-std::optional<bool> resultOf(asio::io_context& context, ServerConnections& connections, const std::string& address)
+/** Runs tryConnect() and returns its result; nothing if there is none within two seconds. */
+std::optional<ConnectOutcome> resultOf(
+    asio::io_context& context, ServerConnections& connections, const std::string& address)
 {
-    std::optional<bool> result;
-    connections.checkEnded(address, [&](bool hasEnded) { result = hasEnded; });
+    std::optional<ConnectOutcome> result;
+    connections.tryConnect(address, [&](ConnectOutcome outcome) { result = outcome; });
     const auto end = std::chrono::steady_clock::now() + 2s;
     while (!result && std::chrono::steady_clock::now() < end) {
         context.restart();
@@ -57,10 +58,10 @@
         tcp::acceptor acceptor(context, anyPort);
         const auto address = addressOf(acceptor);
         acceptor.close();
-        CPPUNIT_ASSERT(resultOf(context, connections, address) == true);
+        CPPUNIT_ASSERT(resultOf(context, connections, address) == ConnectOutcome::Refused);
         // The check has ended, so a new one begins.
-        CPPUNIT_ASSERT(resultOf(context, connections, address) == true);
-        CPPUNIT_ASSERT(resultOf(context, connections, "no address") == false);
+        CPPUNIT_ASSERT(resultOf(context, connections, address) == ConnectOutcome::Refused);
+        CPPUNIT_ASSERT(resultOf(context, connections, "no address") == ConnectOutcome::Failed);
     }
 
     /** The connection of the check must not stay open, because it would take up one of the server's. */
@@ -69,7 +70,7 @@
         asio::io_context context;
         ServerConnections connections(context, {});
         tcp::acceptor acceptor(context, anyPort);
-        CPPUNIT_ASSERT(resultOf(context, connections, addressOf(acceptor)) == false);
+        CPPUNIT_ASSERT(resultOf(context, connections, addressOf(acceptor)) == ConnectOutcome::Connected);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, connections.count());
         auto accepted = acceptor.accept();
         char byte = 0;
@@ -91,7 +92,7 @@
         tcp::socket queued(context);
         queued.connect(acceptor.local_endpoint());
         const auto start = std::chrono::steady_clock::now();
-        CPPUNIT_ASSERT(resultOf(context, connections, addressOf(acceptor)) == false);
+        CPPUNIT_ASSERT(resultOf(context, connections, addressOf(acceptor)) == ConnectOutcome::Failed);
         const auto passed = std::chrono::steady_clock::now() - start;
         CPPUNIT_ASSERT(passed >= 290ms);
     }
@@ -104,8 +105,8 @@
         tcp::acceptor acceptor(context, anyPort);
         int results = 0;
         for (int i = 0; i < 10; ++i)
-            connections.checkEnded(addressOf(acceptor), [&](bool) { ++results; });
-        CPPUNIT_ASSERT(resultOf(context, connections, addressOf(acceptor)) == false);
+            connections.tryConnect(addressOf(acceptor), [&](ConnectOutcome) { ++results; });
+        CPPUNIT_ASSERT(resultOf(context, connections, addressOf(acceptor)) == ConnectOutcome::Connected);
         CPPUNIT_ASSERT_EQUAL(10, results);
         acceptor.non_blocking(true);
         boost::system::error_code ec;
@@ -124,8 +125,8 @@
         int results = 0;
         {
             ServerConnections connections(context, {});
-            connections.checkEnded(address, [&](bool) { ++results; });
-            connections.checkEnded("no address", [&](bool) { ++results; });
+            connections.tryConnect(address, [&](ConnectOutcome) { ++results; });
+            connections.tryConnect("no address", [&](ConnectOutcome) { ++results; });
         }
         context.run_for(400ms);
         CPPUNIT_ASSERT_EQUAL(0, results);
--- a/libs/membership/include/membership/MemberAgent.h
+++ b/libs/membership/include/membership/MemberAgent.h
@@ -38,6 +38,7 @@
     void hurry() noexcept { m_next = TimePoint {}; }
 
     void setState(InstanceState state) { m_self.state = state; }
+    void setDetached(bool isDetached) noexcept { m_self.isDetached = isDetached; }
     void setLedgerEpoch(std::uint64_t epoch) noexcept { m_self.ledgerEpoch = epoch; }
     void setLoads(std::vector<ServiceLoad> loads) { m_loads = std::move(loads); }
     void setDemands(std::vector<WorkspaceDemand> demands) { m_demands = std::move(demands); }
--- a/libs/membership/include/membership/Membership.h
+++ b/libs/membership/include/membership/Membership.h
@@ -52,6 +52,7 @@
     /** A version exists, for example because this instance has just written it. */
     void heard(ConfigurationVersion);
     void setState(InstanceState state) { m_member.setState(state); }
+    void setDetached(bool isDetached) { m_member.setDetached(isDetached); }
     void setLedgerEpoch(std::uint64_t epoch) noexcept { m_member.setLedgerEpoch(epoch); }
     void setLoads(std::vector<ServiceLoad> loads) { m_member.setLoads(std::move(loads)); }
     void setDemands(std::vector<WorkspaceDemand> demands) { m_member.setDemands(std::move(demands)); }
--- a/libs/membership/include/membership/Messages.h
+++ b/libs/membership/include/membership/Messages.h
@@ -40,6 +40,7 @@
     // Lease epoch of the region's budget ledger if this member holds it, else 0. Of two holders in the view, the one
     // with the higher epoch is asked.
     std::uint64_t ledgerEpoch = 0;
+    bool isDetached = false; // It reaches no backend server and passes its requests on to other instances.
 
     bool operator==(const MemberInfo&) const = default;
 };
--- a/libs/membership/src/LiveView.cpp
+++ b/libs/membership/src/LiveView.cpp
@@ -27,7 +27,9 @@
         hash = hashText(info.peerAddress, hash);
         hash = hashNumber(info.incarnation, hash);
         hash = hashNumber(static_cast<std::uint64_t>(info.state), hash);
-        return hashNumber(info.ledgerEpoch, hash);
+        hash = hashNumber(info.ledgerEpoch, hash);
+        // Versions that don't know the member compute the same hash while it isn't set.
+        return info.isDetached ? hashNumber(1, hash) : hash;
     }
 
     /** A domain without members counts nothing, so that a peer that has never heard of it agrees. */
--- a/libs/steering/include/steering/RateDivision.h
+++ b/libs/steering/include/steering/RateDivision.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace peridot {
@@ -16,6 +17,8 @@
     InstanceId id;
     RegionId region;
     bool isLive = true; // If not, it is listed, but not known to live. It may still send requests.
+    bool isDetached = false; // It reaches no backend server and passes its requests on.
+    std::string callerAddress {}; // Takes requests that other instances pass on. Empty if it takes none now.
 
     bool operator==(const EntryInstance&) const = default;
 };
--- a/libs/steering/include/steering/ServicePool.h
+++ b/libs/steering/include/steering/ServicePool.h
@@ -155,6 +155,10 @@
     void clearClaims();
 
     void started(const BackendServerId&, std::optional<std::uint64_t> object, TimePoint now);
+    /** Forgets the failures of all servers, because this instance could not reach them. */
+    void forgetFailures();
+    /** Appends the usable servers. */
+    void addUsableServers(std::vector<const ListedServer*>&) const;
     void finished(const BackendServerId&, DispatchResult, Duration latency, Duration expected,
         const std::optional<ServerLoad>&, TimePoint now);
     /** Sets the room that the bound on limited servers leaves, see LimitBound. */
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -15,6 +15,7 @@
 #include "steering/QuotaGate.h"
 #include "steering/RouteTable.h"
 #include "steering/ServerLimit.h"
+#include "steering/ServerReach.h"
 #include "steering/ServicePool.h"
 
 #include <tl/expected.hpp>
@@ -24,6 +25,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <variant>
@@ -42,6 +44,7 @@
     std::optional<Duration> remainingTime; // Time that the caller waits for the final answer, if it stated one.
     // Hash of the caller, the method, the path and the body. A repeat of the request has the same one, at any instance.
     std::uint64_t content = 0;
+    bool isPassedOn = false; // By an instance that reaches no server; it is not passed on again.
 };
 
 enum class RejectReason {
@@ -91,6 +94,22 @@
     bool isIdempotent = false;
 };
 
+/** Instructs the caller of TrafficSteering to pass the request to another instance once, as if the caller had sent it
+ *  there, and to report the result as for a send. Any response of the instance counts as succeeded. */
+struct PassToInstance {
+    RequestHandle request = 0;
+    InstanceId instance;
+    std::string address;
+    Duration remainingTime { 0 };
+    bool isIdempotent = false;
+};
+
+/** Instructs the caller of TrafficSteering to open a connection to the server, close it at once, and call probed(). */
+struct ProbeServer {
+    std::uint64_t round = 0;
+    std::string address;
+};
+
 /** Instructs the caller of TrafficSteering to close the connection of the running send without a SendReport. */
 struct CancelSend {
     RequestHandle request = 0;
@@ -107,7 +126,8 @@
     Duration retryAfter { 0 }; // 0 if no Retry-After is stated.
 };
 
-using SteeringAction = std::variant<SendToServer, CancelSend, DeliverResponse, RejectRequest>;
+using SteeringAction
+    = std::variant<SendToServer, PassToInstance, ProbeServer, CancelSend, DeliverResponse, RejectRequest>;
 using SteeringActions = std::vector<SteeringAction>;
 
 struct SendReport {
@@ -139,6 +159,7 @@
     ServicePoolOptions pool;
     SteeringBounds bounds {};
     KnowledgeGuardOptions knowledge {};
+    ServerReachOptions reach {};
     CrashRegistryOptions crashes {};
     Duration retryWindow = std::chrono::seconds { 10 };
     // A request that will miss its target latency is queued only if its expected end lies within this share of its
@@ -182,6 +203,7 @@
     std::uint64_t warmSends = 0;
     std::uint64_t spills = 0;
     std::uint64_t retries = 0;
+    std::uint64_t passed = 0; // To other instances.
     std::uint64_t delivered = 0;
     std::uint64_t callerDisconnects = 0;
     std::map<RejectReason, std::uint64_t> rejected;
@@ -223,14 +245,19 @@
     std::vector<ServerLimitStatement> limitStatements(TimePoint now) const;
     /** Applies statements that servers made to other instances. */
     void learnLimits(const std::vector<ServerLimitStatement>&, TimePoint now);
-    /** Records that a server has ended while a request ran there. */
-    void serverEnded(const CrashReport&, TimePoint now);
+    /** Whether this instance reaches no server. It then passes requests on to other instances. */
+    bool isDetached() const noexcept { return m_reach.isDetached(); }
+    /** Records that a server has ended while a request ran there. The report counts once another server was reached,
+     *  because a connection is also refused if this instance is cut off. */
+    SteeringActions serverEnded(const CrashReport&, TimePoint now);
     /** Records that an attempt to confirm the routes, servers and evacuations, which began at @p start, has ended. */
     void knowledgeConfirmed(TimePoint start) noexcept { m_knowledge.confirmed(start); }
     const KnowledgeGuard& knowledge() const noexcept { return m_knowledge; }
 
     /** Starts handling a request. The actions for it are returned by this call or by later ones. */
     SteeringActions begin(RequestHandle, const CallerRequest&, TimePoint now);
+    /** Handles the result of a probe. */
+    SteeringActions probed(std::uint64_t round, bool didConnect, TimePoint now);
     /** Handles the result of a send. Ignored if the request is not running at a server. */
     SteeringActions finished(RequestHandle, const SendReport&, TimePoint now);
     /** Ends a request whose caller has closed its connection. A running send is cancelled. */
@@ -274,6 +301,18 @@
     /** Region to which the home regions of the route or the workspace bind the request; null if there are several. */
     static const RegionId* homeRegion(const Request&);
     static bool isLate(const Request&, TimePoint now);
+    /** Counts the request in its workspace's quota, or rejects it. Returns whether it was counted. */
+    bool countInQuota(Request&, TimePoint now, SteeringActions&);
+    /** While this instance is detached, passes a request that has not run to another instance. Returns whether it did.
+     */
+    bool tryPass(Request&, TimePoint now, SteeringActions&);
+    /** Chooses the instance to pass the request to; null if there is none. */
+    const EntryInstance* choosePeer(const Request&);
+    void passFinished(Request&, const SendReport&, TimePoint now, SteeringActions&);
+    void beginProbes(TimePoint now, SteeringActions&);
+    /** Follows a change of ServerReach. */
+    void followReach(TimePoint now, SteeringActions&);
+    void observeCrash(const CrashReport&, TimePoint now);
     void enqueue(Request&, TimePoint now, SteeringActions&);
     Duration expectedWait(const Request&, TimePoint now);
     /** Whether a request may stay in the queue if its expected wait is @p wait. */
@@ -292,6 +331,7 @@
     /** Rejects a request without a configuration, a matching route or a valid key. */
     void rejectUnrouted(RequestHandle, const CallerRequest&, RejectReason, Duration retryAfter, SteeringActions&);
     void logLimit(const BackendServerId&, double perSecond, bool isFromPeer) const;
+    void observeReach(const BackendServerId&, const Request&, const SendReport&, TimePoint now);
     void recordSendResult(Request&, const SendReport&, TimePoint now);
     void updateWorkTimes(Request&, Duration latency, std::size_t responseBytes);
     /** Whether the route's responses have been large so far. */
@@ -313,6 +353,10 @@
     LateAttemptDetector m_lateAttempts;
     QuotaGate m_quotas;
     CrashRegistry m_crashes;
+    std::vector<CrashReport> m_unconfirmedCrashes; // See serverEnded().
+    ServerReach m_reach;
+    bool m_wasDetached = false; // As followReach() last saw it.
+    std::mt19937_64 m_random; // Selects instances and servers to probe.
     OutflowLimit m_outflow;
     std::unique_ptr<class SplitSelector> m_split;
     std::map<ServiceId, std::unique_ptr<Service>> m_services;
--- a/libs/steering/src/RateDivision.cpp
+++ b/libs/steering/src/RateDivision.cpp
@@ -38,13 +38,13 @@
     std::vector<std::tuple<bool, bool, std::uint64_t, const EntryInstance*>> order;
     order.reserve(count);
     for (const auto& it : m_instances)
-        order.emplace_back(!it.isLive, it.region != serverRegion, hashOf(it.id.value(), seed), &it);
+        order.emplace_back(!it.isLive || it.isDetached, it.region != serverRegion, hashOf(it.id.value(), seed), &it);
     std::sort(order.begin(), order.end());
     const auto holders = static_cast<std::size_t>(std::clamp(maximumHolders, 1.0, static_cast<double>(count)));
     double own = 0;
     double sum = 0;
     for (std::size_t i = 0; i < holders; ++i) {
-        const auto& [isSilent, isRemote, hash, instance] = order[(turn * holders + i) % count];
+        const auto& [isLast, isRemote, hash, instance] = order[(turn * holders + i) % count];
         const auto weight = isRemote ? 1.0 : localWeight;
         sum += weight;
         if (instance->id == m_self)
--- a/libs/steering/src/ServicePool.cpp
+++ b/libs/steering/src/ServicePool.cpp
@@ -463,6 +463,24 @@
     }
 }
 
+void ServicePool::forgetFailures()
+{
+    for (const auto& [id, server] : m_servers) {
+        server->failureShare = 0;
+        server->consecutiveFailures = 0;
+        server->ejectedUntil = {};
+        server->ejectionTime = {};
+    }
+}
+
+void ServicePool::addUsableServers(std::vector<const ListedServer*>& servers) const
+{
+    for (const auto& [id, server] : m_servers) {
+        if (isUsable(*server))
+            servers.push_back(&server->info);
+    }
+}
+
 bool ServicePool::limitStated(const BackendServerId& id, double perSecond, TimePoint sent, TimePoint now)
 {
     const auto it = m_servers.find(id);
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -27,6 +27,7 @@
     constexpr double largeResponseBytes = 14'600;
     // A pass over the queue stops choosing servers after this many requests for which no server has a free slot.
     constexpr std::size_t maximumWaitingPerPass = 24;
+    constexpr unsigned maximumPasses = 3; // Instances that are tried for one request.
     constexpr unsigned maximumSends = 4; // Sends of one request, including those that servers refuse.
     constexpr Duration startingRetryAfter = std::chrono::milliseconds { 300 };
     constexpr Duration noServerRetryAfter = std::chrono::milliseconds { 500 };
@@ -104,6 +105,9 @@
     Duration expectedWarmWork { 0 };
     Duration predictedLatency { 0 }; // Expected time to the response, as of when the request was queued or sent.
     std::vector<BackendServerId> excluded; // Servers at which a send of this request has failed.
+    bool isPassedOn = false; // Another instance passed it to this one.
+    std::vector<InstanceId> passedTo; // Instances to which it was passed.
+    bool isAtPeer = false; // At the last one of passedTo.
     std::optional<BackendServerId> runningAt; // Server of the running send.
     WarmReason warmReason = WarmReason::None; // Why the server of the running send may hold the object.
     bool isQueued = false;
@@ -152,6 +156,8 @@
     , m_knowledge(m_options.knowledge)
     , m_quotas(seed)
     , m_crashes(m_options.crashes, seed)
+    , m_reach(m_options.reach)
+    , m_random(seed)
     , m_split(std::make_unique<SplitSelector>())
 {
 }
@@ -306,6 +312,7 @@
     it.path = caller.path;
     it.key = caller.key;
     it.content = caller.content;
+    it.isPassedOn = caller.isPassedOn;
     it.arrival = it.current = *admission;
     it.isIdempotent = route->isIdempotent;
     it.maximumAttempts = route->maximumAttempts;
@@ -319,14 +326,9 @@
     it.isLateAttempt = caller.remainingTime
         && m_lateAttempts.isLate(
             route->name, workspace ? workspace->id : WorkspaceId {}, *caller.remainingTime, route->targetLatency);
-    if (workspace) {
-        if (auto taken = m_quotas.tryAdmit(workspace->id, now, it.isLateAttempt); !taken) {
-            reject(it, RejectReason::RateExceeded, taken.error(), now, actions);
-            return actions;
-        }
-        it.countedIn = workspace->id;
-    }
     it.service = &service(m_split->select(*route));
+    if (tryPass(it, now, actions) || !countInQuota(it, now, actions))
+        return actions;
     it.service->retries.requestStarted(now);
     const auto work = workTimes(*route).mean / 1e6;
     it.service->offeredLoad.count(work);
@@ -377,7 +379,165 @@
     return std::nullopt;
 }
 
-void TrafficSteering::serverEnded(const CrashReport& report, TimePoint now)
+bool TrafficSteering::countInQuota(Request& request, TimePoint now, SteeringActions& actions)
+{
+    const auto* workspace = request.workspace();
+    if (!workspace || request.countedIn)
+        return true;
+    if (auto taken = m_quotas.tryAdmit(workspace->id, now, request.isLateAttempt); !taken) {
+        reject(request, RejectReason::RateExceeded, taken.error(), now, actions);
+        return false;
+    }
+    request.countedIn = workspace->id;
+    return true;
+}
+
+bool TrafficSteering::tryPass(Request& request, TimePoint now, SteeringActions& actions)
+{
+    if (!m_reach.isDetached() || request.isPassedOn || request.runs > 0 || request.passedTo.size() >= maximumPasses)
+        return false;
+    const auto* peer = choosePeer(request);
+    if (!peer)
+        return false;
+    // The other instance counts the request in the quota.
+    if (request.countedIn)
+        m_quotas.refund(*std::exchange(request.countedIn, std::nullopt));
+    ++m_counters.passed;
+    request.passedTo.push_back(peer->id);
+    request.isAtPeer = true;
+    actions.emplace_back(PassToInstance { request.handle, peer->id, peer->callerAddress,
+        std::max(request.answerDeadline - now, Duration { 1'000 }), request.isIdempotent });
+    if (m_log.isEnabled(LogLevel::Info)) {
+        m_log.write(LogLevel::Info,
+            LogLine("pass")
+                .add("request", request.id)
+                .add("route", request.route().name)
+                .add("instance", peer->id)
+                .add("region", peer->region)
+                .add("wait_ms", now - request.arrived));
+    }
+    return true;
+}
+
+/** Prefers the own region, unless more of its instances are detached than are left to take their requests. */
+const EntryInstance* TrafficSteering::choosePeer(const Request& request)
+{
+    const auto wanted = query(request);
+    std::vector<const EntryInstance*> all;
+    std::vector<const EntryInstance*> local;
+    std::size_t localDetached = 1; // This instance.
+    for (const auto& it : m_instances) {
+        const bool isLocal = it.region == m_options.region;
+        if (it.id == m_options.instance)
+            continue;
+        localDetached += isLocal && it.isDetached ? 1 : 0;
+        const bool isTried
+            = std::find(request.passedTo.begin(), request.passedTo.end(), it.id) != request.passedTo.end();
+        if (!it.isLive || it.isDetached || it.callerAddress.empty() || isTried || !wanted.allows(it.region))
+            continue;
+        all.push_back(&it);
+        if (isLocal)
+            local.push_back(&it);
+    }
+    const auto& candidates = local.size() >= localDetached ? local : all;
+    return candidates.empty() ? nullptr : candidates[m_random() % candidates.size()];
+}
+
+void TrafficSteering::passFinished(Request& request, const SendReport& report, TimePoint now, SteeringActions& actions)
+{
+    request.isAtPeer = false;
+    if (report.result == DispatchResult::Succeeded) {
+        deliver(request, now, actions);
+        return;
+    }
+    m_log.write(LogLevel::Info,
+        LogLine("pass_failed")
+            .add("request", request.id)
+            .add("instance", request.passedTo.back())
+            .add("result", enumName(report.result))
+            .add("detail", report.detail));
+    if (report.result == DispatchResult::NotSent) {
+        if (tryPass(request, now, actions))
+            return;
+        if (countInQuota(request, now, actions))
+            enqueue(request, now, actions);
+        return;
+    }
+    // The other instance may have sent it to as many servers as the route allows.
+    request.runs = std::max(request.runs, request.maximumAttempts);
+    reject(request, RejectReason::ServerFailed, {}, now, actions);
+}
+
+void TrafficSteering::beginProbes(TimePoint now, SteeringActions& actions)
+{
+    std::vector<const ListedServer*> servers;
+    for (const auto& [id, entry] : m_services)
+        entry->pool.addUsableServers(servers);
+    std::shuffle(servers.begin(), servers.end(), m_random);
+    // Servers of different failure domains first, because those of one domain may fail together.
+    std::set<FailureDomainId> domains;
+    std::stable_partition(servers.begin(), servers.end(),
+        [&](const ListedServer* it) { return domains.insert(it->failureDomain).second; });
+    servers.resize(std::min(servers.size(), ServerReach::s_probesPerRound));
+    if (servers.empty())
+        return;
+    const auto round = m_reach.beginRound(servers.size(), now);
+    for (const auto* server : servers)
+        actions.emplace_back(ProbeServer { round, server->address });
+}
+
+SteeringActions TrafficSteering::probed(std::uint64_t round, bool didConnect, TimePoint now)
+{
+    SteeringActions actions;
+    m_knowledge.eventBegins(now);
+    m_reach.probed(round, didConnect, now);
+    if (didConnect) {
+        for (const auto& report : std::exchange(m_unconfirmedCrashes, {}))
+            observeCrash(report, now);
+    }
+    followReach(now, actions);
+    return actions;
+}
+
+void TrafficSteering::followReach(TimePoint now, SteeringActions& actions)
+{
+    if (std::exchange(m_wasDetached, m_reach.isDetached()) == m_reach.isDetached())
+        return;
+    m_log.write(LogLevel::Warning,
+        LogLine(m_reach.isDetached() ? "detached" : "attached").add("open_requests", m_requests.size()));
+    if (!m_reach.isDetached()) {
+        for (const auto& [id, entry] : m_services)
+            entry->pool.forgetFailures();
+        return;
+    }
+    m_unconfirmedCrashes.clear();
+    for (const auto& [id, entry] : m_services) {
+        for (auto* request : std::exchange(entry->queue, {})) {
+            request->isQueued = false;
+            enqueue(*request, now, actions);
+        }
+    }
+}
+
+SteeringActions TrafficSteering::serverEnded(const CrashReport& report, TimePoint now)
+{
+    SteeringActions actions;
+    if (m_reach.isDetached())
+        return actions;
+    std::vector<const ListedServer*> servers;
+    for (const auto& [id, entry] : m_services)
+        entry->pool.addUsableServers(servers);
+    if (std::none_of(servers.begin(), servers.end(), [&](const auto* it) { return it->id != report.server; })) {
+        observeCrash(report, now);
+        return actions;
+    }
+    m_unconfirmedCrashes.push_back(report);
+    if (!m_reach.isProbing())
+        beginProbes(now, actions);
+    return actions;
+}
+
+void TrafficSteering::observeCrash(const CrashReport& report, TimePoint now)
 {
     m_crashes.observe(report, now);
     m_log.write(LogLevel::Warning,
@@ -470,6 +630,13 @@
         reject(request, *reason, {}, now, actions);
         return;
     }
+    if (tryPass(request, now, actions))
+        return;
+    // Open connections may live on, so that responses still come.
+    if (m_reach.isDetached() && !m_reach.hasResponses(now)) {
+        reject(request, RejectReason::NoServer, noServerRetryAfter, now, actions);
+        return;
+    }
     const auto wanted = query(request);
     request.expectedWarmWork = wanted.warmWork;
     const auto choice = service.pool.choose(wanted, now);
@@ -664,9 +831,31 @@
             .add("version", request.current.routes->version()));
 }
 
+void TrafficSteering::observeReach(
+    const BackendServerId& server, const Request& request, const SendReport& report, TimePoint now)
+{
+    if (report.connectTime)
+        m_reach.connected(request.sentAt + *report.connectTime);
+    switch (report.result) {
+    case DispatchResult::Succeeded:
+    case DispatchResult::ServerError:
+    case DispatchResult::Shed:
+    case DispatchResult::WrongServer:
+        m_reach.responded(now);
+        break;
+    case DispatchResult::NotSent:
+    case DispatchResult::Broken:
+        m_reach.sendFailed(server, now);
+        break;
+    case DispatchResult::Cancelled:
+        break;
+    }
+}
+
 void TrafficSteering::recordSendResult(Request& request, const SendReport& report, TimePoint now)
 {
     const auto server = *std::exchange(request.runningAt, std::nullopt);
+    observeReach(server, request, report, now);
     auto& pool = request.service->pool;
     if (report.connectTime)
         pool.connected(server, *report.connectTime);
@@ -711,6 +900,10 @@
     SteeringActions actions;
     m_knowledge.eventBegins(now);
     const auto it = m_requests.find(handle);
+    if (it != m_requests.end() && it->second->isAtPeer) {
+        passFinished(*it->second, report, now, actions);
+        return actions;
+    }
     if (it == m_requests.end() || !it->second->runningAt)
         return actions;
     auto& request = *it->second;
@@ -725,6 +918,7 @@
                 .add("detail", report.detail));
     }
     recordSendResult(request, report, now);
+    followReach(now, actions);
     if (report.result == DispatchResult::Succeeded)
         deliver(request, now, actions);
     else
@@ -855,6 +1049,8 @@
     if (request.runningAt) {
         actions.emplace_back(CancelSend { handle });
         recordSendResult(request, { DispatchResult::Cancelled, {}, {}, {} }, now);
+    } else if (request.isAtPeer) {
+        actions.emplace_back(CancelSend { handle });
     } else if (request.countedIn && request.sends == 0) {
         m_quotas.refund(*request.countedIn);
     }
@@ -868,12 +1064,23 @@
     SteeringActions actions;
     m_knowledge.eventBegins(now);
     std::vector<Request*> ended;
+    std::set<BackendServerId> silent;
     for (const auto& [handle, request] : m_requests) {
         if (request->answerDeadline <= now)
             ended.push_back(request.get());
+        if (request->runningAt && now - request->sentAt >= m_reach.silence() && silent.size() < 2)
+            silent.insert(*request->runningAt);
     }
+    m_reach.observeSilence(silent.size(), now);
+    if (m_reach.isRoundDue(now) || (!m_unconfirmedCrashes.empty() && !m_reach.isProbing()))
+        beginProbes(now, actions);
     for (auto* request : ended) {
-        if (request->runningAt) {
+        if (request->isAtPeer) {
+            actions.emplace_back(CancelSend { request->handle });
+            request->isAtPeer = false;
+            request->runs = std::max(request->runs, 1U);
+            reject(*request, RejectReason::TimedOut, {}, now, actions);
+        } else if (request->runningAt) {
             actions.emplace_back(CancelSend { request->handle });
             recordSendResult(*request, { DispatchResult::Cancelled, {}, {}, {} }, now);
             reject(*request, RejectReason::TimedOut, {}, now, actions);
--- a/libs/steering/tests/DetachedInstanceTest.cpp
+++ b/libs/steering/tests/DetachedInstanceTest.cpp
@@ -112,7 +112,8 @@
     {
         std::vector<EntryInstance> all;
         for (std::size_t i = 0; i < m_instances.size(); ++i)
-            all.push_back({ InstanceId("e-" + std::to_string(i)), jadran });
+            all.push_back({ InstanceId("e-" + std::to_string(i)), jadran, true, m_instances[i].steering->isDetached(),
+                std::to_string(i) });
         for (auto& instance : m_instances)
             instance.steering->setInstances(all);
     }
@@ -174,6 +175,26 @@
         }
     }
 
+    void perform(std::size_t index, const PassToInstance& pass)
+    {
+        m_open.insert(pass.request);
+        at(m_now + 10ms, [this, index, pass] {
+            auto message = m_requests[m_handlings[pass.request].request].message;
+            message.isPassedOn = true;
+            message.remainingTime = pass.remainingTime;
+            begin(std::stoul(pass.address), { m_handlings[pass.request].request, std::pair(index, pass.request) },
+                message);
+        });
+    }
+
+    void perform(std::size_t index, const ProbeServer& probe)
+    {
+        const auto cut = m_instances[index].cut;
+        at(m_now + (cut == CutKind::Silent ? 300ms : 10ms), [this, index, probe, cut] {
+            perform(index, m_instances[index].steering->probed(probe.round, !cut, m_now));
+        });
+    }
+
     void perform(std::size_t, const CancelSend& cancel) { m_open.erase(cancel.request); }
 
     void perform(std::size_t, const DeliverResponse& deliver) { answer(deliver.request, true); }
@@ -223,6 +244,11 @@
 class DetachedInstanceTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(DetachedInstanceTest);
     CPPUNIT_TEST(callersOfAnInstanceWithoutServersAreServed);
+    CPPUNIT_TEST(attachedInstanceServesItsCallersItself);
+    CPPUNIT_TEST(cutOfAllInstancesIsRejectedAtOnce);
+    CPPUNIT_TEST(homedRequestsArePassedWithinTheirHomes);
+    CPPUNIT_TEST(passedRequestIsNotPassedAgainNorRepeated);
+    CPPUNIT_TEST(cutInstanceBlamesNoRequest);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -249,6 +275,129 @@
             }
         }
     }
+
+    /** An instance that went on passing requests, or avoided the servers that it had failed to reach, would load its
+     *  peers for no reason. */
+    void attachedInstanceServesItsCallersItself()
+    {
+        for (const auto kind : { CutKind::Refused, CutKind::Silent, CutKind::RefusedNew }) {
+            CutFleet fleet(6, 2);
+            fleet.run(3s);
+            for (int i = 0; i < 3; ++i) {
+                fleet.cut(0, kind);
+                fleet.run(4s);
+                CPPUNIT_ASSERT(fleet.steering(0).isDetached());
+                fleet.mend(0);
+                const auto mended = fleet.now();
+                fleet.run(500ms);
+                const auto passed = fleet.steering(0).counters().passed;
+                fleet.run(3s);
+                CPPUNIT_ASSERT(!fleet.steering(0).isDetached());
+                CPPUNIT_ASSERT_EQUAL(passed, fleet.steering(0).counters().passed);
+                CPPUNIT_ASSERT(fleet.share(0, mended + 500ms).value() > 0.98);
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fleet.repeatedRuns());
+        }
+    }
+
+    /** Without an instance to pass to, requests must not wait for their deadline. */
+    void cutOfAllInstancesIsRejectedAtOnce()
+    {
+        auto& it = detached({ { InstanceId("e-0"), jadran }, { InstanceId("e-1"), jadran, true, true, "1" } });
+        const auto actions = it.begin(1, request("/book/"), m_now);
+        const auto* rejected = only<RejectRequest>(actions);
+        CPPUNIT_ASSERT(rejected && rejected->reason == RejectReason::NoServer);
+    }
+
+    /** The body of a request must not reach an instance outside the homes of its route. */
+    void homedRequestsArePassedWithinTheirHomes()
+    {
+        auto& it = detached({ { InstanceId("e-0"), jadran }, { InstanceId("e-1"), jadran, true, false, "1" },
+            { InstanceId("e-2"), zagorje, true, false, "2" } });
+        auto homed = data(2);
+        homed.routes[0].homeRegions = { zagorje };
+        it.setRoutes(*RouteTable::create(homed));
+        for (RequestHandle handle = 1; handle < 20; ++handle) {
+            const auto actions = it.begin(handle, request("/lookup/"), m_now);
+            CPPUNIT_ASSERT(only<PassToInstance>(actions) && only<PassToInstance>(actions)->address == "2");
+        }
+        // The own region has an instance for requests without homes.
+        const auto actions = it.begin(20, request("/book/"), m_now);
+        CPPUNIT_ASSERT(only<PassToInstance>(actions) && only<PassToInstance>(actions)->address == "1");
+    }
+
+    /** A request may run at the instance that it was passed to, even if that ends without a response. */
+    void passedRequestIsNotPassedAgainNorRepeated()
+    {
+        auto& it = detached({ { InstanceId("e-0"), jadran }, { InstanceId("e-1"), jadran, true, false, "1" },
+            { InstanceId("e-2"), jadran, true, false, "2" } });
+        for (const auto* path : { "/book/", "/lookup/" }) {
+            const RequestHandle handle = path[1] == 'b' ? 1 : 2;
+            CPPUNIT_ASSERT(only<PassToInstance>(it.begin(handle, request(path), m_now)));
+            SendReport lost;
+            lost.result = DispatchResult::NotSent;
+            CPPUNIT_ASSERT(only<PassToInstance>(it.finished(handle, lost, m_now)));
+            lost.result = DispatchResult::Broken;
+            const auto actions = it.finished(handle, lost, m_now);
+            CPPUNIT_ASSERT(only<RejectRequest>(actions)->reason == RejectReason::ServerFailed);
+        }
+        auto passed = request("/book/");
+        passed.isPassedOn = true;
+        CPPUNIT_ASSERT(only<RejectRequest>(it.begin(3, passed, m_now))->reason == RejectReason::NoServer);
+        // A caller that leaves, and the deadline, close the connection to the other instance.
+        it.begin(4, request("/book/"), m_now);
+        CPPUNIT_ASSERT(only<CancelSend>(it.callerDisconnected(4, m_now)));
+        it.begin(5, request("/book/"), m_now);
+        const auto expired = it.tick(m_now + 2s);
+        CPPUNIT_ASSERT(std::any_of(expired.begin(), expired.end(), [](const auto& action) {
+            const auto* reject = std::get_if<RejectRequest>(&action);
+            return reject && reject->request == 5 && reject->reason == RejectReason::TimedOut;
+        }));
+    }
+
+    /** To an instance that is cut off, all servers seem to have ended while they ran requests. */
+    void cutInstanceBlamesNoRequest()
+    {
+        for (const bool isCut : { true, false }) {
+            TrafficSteering steering(options(), 1, m_log);
+            steering.setServers(servers(6, 8), start);
+            for (int i = 0; i < 3; ++i)
+                answerProbes(steering, steering.serverEnded({ 7, BackendServerId("i-" + std::to_string(i)) }, start),
+                    !isCut, start);
+            for (auto now = start; now < start + 2s; now += 100ms)
+                answerProbes(steering, steering.tick(now), !isCut, now);
+            CPPUNIT_ASSERT_EQUAL(!isCut, steering.crashes().isIsolated(7));
+        }
+    }
+
+private:
+    static void answerProbes(TrafficSteering& steering, const SteeringActions& actions, bool didConnect, TimePoint now)
+    {
+        for (const auto& action : actions) {
+            if (const auto* probe = std::get_if<ProbeServer>(&action))
+                steering.probed(probe->round, didConnect, now);
+        }
+    }
+
+    /** A detached instance e-0 that knows these instances. */
+    TrafficSteering& detached(const std::vector<EntryInstance>& instances)
+    {
+        auto settings = options();
+        settings.instance = InstanceId("e-0");
+        m_steering = std::make_unique<TrafficSteering>(settings, 1, m_log);
+        m_steering->setRoutes(*RouteTable::create(data()));
+        m_steering->setServers(servers(6, 8), start);
+        m_steering->setInstances(instances);
+        answerProbes(*m_steering, m_steering->serverEnded({ 7, BackendServerId("i-0") }, start), false, start);
+        for (m_now = start; !m_steering->isDetached() && m_now < start + 2s; m_now += 100ms)
+            answerProbes(*m_steering, m_steering->tick(m_now), false, m_now);
+        CPPUNIT_ASSERT(m_steering->isDetached());
+        return *m_steering;
+    }
+
+    NullEventLog m_log;
+    std::unique_ptr<TrafficSteering> m_steering;
+    TimePoint m_now = start;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DetachedInstanceTest);
--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -89,6 +89,7 @@
             to.set_peer_address(from.peerAddress);
         to.set_state(static_cast<proto::InstanceState>(from.state));
         to.set_ledger_epoch(from.ledgerEpoch);
+        to.set_is_detached(from.isDetached);
     }
 
     MemberInfo read(const proto::MemberInfo& from, const Envelope* envelope)
@@ -111,6 +112,7 @@
         to.callerAddress = name(from.caller_address());
         to.state = enumValue<InstanceState>(from.state());
         to.ledgerEpoch = from.ledger_epoch();
+        to.isDetached = from.is_detached();
         return to;
     }
 
--- a/libs/wire/tests/CodecTest.cpp
+++ b/libs/wire/tests/CodecTest.cpp
@@ -35,6 +35,7 @@
         value.limits
             = { { BackendServerId { "i-2" }, -5, std::numeric_limits<double>::infinity(), milliseconds { 3 } } };
         value.age = milliseconds { 731 };
+        value.members.back().isDetached = true;
         return value;
     }
 
