entry: a probe counts as connected only if its connection lasts

Cause: something on the way, such as a proxy, may accept connections for servers that it doesn't reach, and reset them. An instance behind it would never count as detached.

Change: the connection of a probe has to last 30 ms. Probes that confirm the end of a server need no such time, as only a refused connection leads to them.

Result: connectionThatBreaksAtOnceHasFailed; crash-isolation-tests, which would see isolation 30 ms later, pass.

--- a/libs/entry/include/entry/ServerConnections.h
+++ b/libs/entry/include/entry/ServerConnections.h
@@ -56,9 +56,10 @@
     /** Reports that a reused connection broke during a request, after it had been idle for @p idleTime. Lowers the idle
      *  time up to which connections are reused for non-idempotent requests. */
     void onIdleConnectionBroken(Duration idleTime);
-    /** Opens a connection to @p address and closes it at once. The handler is called later, unless this object is
-     *  destroyed before. Attempts at one address at the same time share the result. */
-    void tryConnect(const std::string& address, std::function<void(ConnectOutcome)> onResult);
+    /** Opens a connection to @p address and closes it, without a request. It counts as connected if it lasts for
+     *  @p settleTime. The handler is called later, unless this object is destroyed before. Attempts at one address at
+     * the same time share the result. */
+    void tryConnect(const std::string& address, Duration settleTime, std::function<void(ConnectOutcome)> onResult);
     /** Number of open and connecting connections to all servers, without those of tryConnect(). */
     std::size_t count() const noexcept;
 
@@ -78,6 +79,7 @@
 
         boost::asio::ip::tcp::socket socket;
         boost::asio::steady_timer timer;
+        char byte = 0; // Read while the connection settles.
         std::vector<std::function<void(ConnectOutcome)>> handlers;
     };
 
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -20,6 +20,8 @@
 
     // Interval at which deadlines and queued requests are checked. Time limits are at least 100 ms.
     constexpr std::chrono::milliseconds tickInterval { 20 };
+    // A connection that breaks within this time was accepted by something on the way that does not reach the server.
+    constexpr Duration probeSettleTime = std::chrono::milliseconds { 30 };
     // Short, because another instance can take the request at once.
     constexpr Duration leavingRetryAfter = std::chrono::milliseconds { 20 };
 
@@ -183,10 +185,11 @@
 
 void RequestGateway::perform(const ProbeServer& probe)
 {
-    m_connections.tryConnect(probe.address, [this, isAlive = m_isAlive, round = probe.round](ConnectOutcome outcome) {
-        if (*isAlive)
-            perform(m_steering.probed(round, outcome == ConnectOutcome::Connected, steadyNow()));
-    });
+    m_connections.tryConnect(probe.address, probe.isUrgent ? Duration { 0 } : probeSettleTime,
+        [this, isAlive = m_isAlive, round = probe.round](ConnectOutcome outcome) {
+            if (*isAlive)
+                perform(m_steering.probed(round, outcome == ConnectOutcome::Connected, steadyNow()));
+        });
 }
 
 void RequestGateway::sendFinished(
@@ -223,7 +226,7 @@
 
 void RequestGateway::checkServerEnded(const OpenRequest& request)
 {
-    m_connections.tryConnect(request.address,
+    m_connections.tryConnect(request.address, Duration { 0 },
         [this, isAlive = m_isAlive, report = CrashReport { request.content, request.server },
             hasResponse = request.hasResponse](ConnectOutcome outcome) {
             // The response has removed all reports of the request; a late one must not follow it.
--- a/libs/entry/src/ServerConnections.cpp
+++ b/libs/entry/src/ServerConnections.cpp
@@ -122,7 +122,8 @@
     m_safeIdleTime = std::clamp(idleTime / 2, minimumSafeIdleTime, m_safeIdleTime);
 }
 
-void ServerConnections::tryConnect(const std::string& address, std::function<void(ConnectOutcome)> onResult)
+void ServerConnections::tryConnect(
+    const std::string& address, Duration settleTime, std::function<void(ConnectOutcome)> onResult)
 {
     auto& attempt = m_attempts[address];
     if (attempt) {
@@ -145,10 +146,25 @@
         if (!ec)
             finish(ConnectOutcome::Failed);
     });
-    attempt->socket.async_connect(*endpoint, [finish](const error_code& ec) {
-        finish(!ec                                      ? ConnectOutcome::Connected
-                : ec == asio::error::connection_refused ? ConnectOutcome::Refused
-                                                        : ConnectOutcome::Failed);
+    attempt->socket.async_connect(*endpoint, [finish, attempt, settleTime, isAlive = m_isAlive](const error_code& ec) {
+        if (!*isAlive || !attempt->socket.is_open())
+            return;
+        if (ec) {
+            finish(ec == asio::error::connection_refused ? ConnectOutcome::Refused : ConnectOutcome::Failed);
+            return;
+        }
+        if (settleTime <= Duration { 0 }) {
+            finish(ConnectOutcome::Connected);
+            return;
+        }
+        // A server sends nothing before a request, so that any end of the read is one of the connection.
+        attempt->socket.async_read_some(asio::buffer(&attempt->byte, 1),
+            [finish](const error_code&, std::size_t) { finish(ConnectOutcome::Failed); });
+        attempt->timer.expires_after(settleTime);
+        attempt->timer.async_wait([finish](const error_code& timerEc) {
+            if (!timerEc)
+                finish(ConnectOutcome::Connected);
+        });
     });
 }
 
--- a/libs/entry/tests/CrashIsolationTest.cpp
+++ b/libs/entry/tests/CrashIsolationTest.cpp
@@ -291,8 +291,8 @@
         first->end();
         // Shares the check that runs since the connection broke.
         std::optional<ConnectOutcome> result;
-        harness.connections.tryConnect(
-            "127.0.0.1:" + std::to_string(first->port()), [&](ConnectOutcome outcome) { result = outcome; });
+        harness.connections.tryConnect("127.0.0.1:" + std::to_string(first->port()), Duration { 0 },
+            [&](ConnectOutcome outcome) { result = outcome; });
         CPPUNIT_ASSERT(harness.runUntil([&] { return result.has_value(); }, std::chrono::milliseconds { 5'000 }));
         CPPUNIT_ASSERT(result == ConnectOutcome::Refused);
         CPPUNIT_ASSERT(harness.steering.crashes().takeChanges(steadyNow()).added.empty());
--- a/libs/entry/tests/ServerConnectionsTest.cpp
+++ b/libs/entry/tests/ServerConnectionsTest.cpp
@@ -27,10 +27,10 @@
 
 /** Runs tryConnect() and returns its result; nothing if there is none within two seconds. */
 std::optional<ConnectOutcome> resultOf(
-    asio::io_context& context, ServerConnections& connections, const std::string& address)
+    asio::io_context& context, ServerConnections& connections, const std::string& address, Duration settleTime = 0ms)
 {
     std::optional<ConnectOutcome> result;
-    connections.tryConnect(address, [&](ConnectOutcome outcome) { result = outcome; });
+    connections.tryConnect(address, settleTime, [&](ConnectOutcome outcome) { result = outcome; });
     const auto end = std::chrono::steady_clock::now() + 2s;
     while (!result && std::chrono::steady_clock::now() < end) {
         context.restart();
@@ -45,6 +45,7 @@
     CPPUNIT_TEST_SUITE(ServerConnectionsTest);
     CPPUNIT_TEST(refusedConnectionMeansEnded);
     CPPUNIT_TEST(serverThatListensHasNotEnded);
+    CPPUNIT_TEST(connectionThatBreaksAtOnceHasFailed);
     CPPUNIT_TEST(serverThatDoesNotRespondHasNotEnded);
     CPPUNIT_TEST(checksOfOneAddressShareOneConnection);
     CPPUNIT_TEST(noResultAfterDestruction);
@@ -71,6 +72,7 @@
         ServerConnections connections(context, {});
         tcp::acceptor acceptor(context, anyPort);
         CPPUNIT_ASSERT(resultOf(context, connections, addressOf(acceptor)) == ConnectOutcome::Connected);
+        CPPUNIT_ASSERT(resultOf(context, connections, addressOf(acceptor), 30ms) == ConnectOutcome::Connected);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, connections.count());
         auto accepted = acceptor.accept();
         char byte = 0;
@@ -79,6 +81,18 @@
         CPPUNIT_ASSERT(ec == asio::error::eof);
     }
 
+    /** Something on the way, such as a proxy, may accept connections for a server that it does not reach. */
+    void connectionThatBreaksAtOnceHasFailed()
+    {
+        asio::io_context context;
+        ServerConnections connections(context, {});
+        tcp::acceptor acceptor(context, anyPort);
+        acceptor.async_accept([](const boost::system::error_code&, tcp::socket socket) {
+            socket.set_option(asio::socket_base::linger(true, 0));
+        });
+        CPPUNIT_ASSERT(resultOf(context, connections, addressOf(acceptor), 30ms) == ConnectOutcome::Failed);
+    }
+
     /** A paused process answers nothing once its queue of connections is full. It must not count as ended. */
     void serverThatDoesNotRespondHasNotEnded()
     {
@@ -105,7 +119,7 @@
         tcp::acceptor acceptor(context, anyPort);
         int results = 0;
         for (int i = 0; i < 10; ++i)
-            connections.tryConnect(addressOf(acceptor), [&](ConnectOutcome) { ++results; });
+            connections.tryConnect(addressOf(acceptor), 0ms, [&](ConnectOutcome) { ++results; });
         CPPUNIT_ASSERT(resultOf(context, connections, addressOf(acceptor)) == ConnectOutcome::Connected);
         CPPUNIT_ASSERT_EQUAL(10, results);
         acceptor.non_blocking(true);
@@ -125,8 +139,8 @@
         int results = 0;
         {
             ServerConnections connections(context, {});
-            connections.tryConnect(address, [&](ConnectOutcome) { ++results; });
-            connections.tryConnect("no address", [&](ConnectOutcome) { ++results; });
+            connections.tryConnect(address, 0ms, [&](ConnectOutcome) { ++results; });
+            connections.tryConnect("no address", 0ms, [&](ConnectOutcome) { ++results; });
         }
         context.run_for(400ms);
         CPPUNIT_ASSERT_EQUAL(0, results);
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -104,10 +104,11 @@
     bool isIdempotent = false;
 };
 
-/** Instructs the caller of TrafficSteering to open a connection to the server, close it at once, and call probed(). */
+/** Instructs the caller of TrafficSteering to open a connection to the server, without a request, and call probed(). */
 struct ProbeServer {
     std::uint64_t round = 0;
     std::string address;
+    bool isUrgent = false; // An accepted connection is enough; it does not have to last.
 };
 
 /** Instructs the caller of TrafficSteering to close the connection of the running send without a SendReport. */
@@ -309,7 +310,7 @@
     /** Chooses the instance to pass the request to; null if there is none. */
     const EntryInstance* choosePeer(const Request&);
     void passFinished(Request&, const SendReport&, TimePoint now, SteeringActions&);
-    void beginProbes(TimePoint now, SteeringActions&);
+    void beginProbes(bool isUrgent, TimePoint now, SteeringActions&);
     /** Follows a change of ServerReach. */
     void followReach(TimePoint now, SteeringActions&);
     void observeCrash(const CrashReport&, TimePoint now);
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -468,7 +468,7 @@
     reject(request, RejectReason::ServerFailed, {}, now, actions);
 }
 
-void TrafficSteering::beginProbes(TimePoint now, SteeringActions& actions)
+void TrafficSteering::beginProbes(bool isUrgent, TimePoint now, SteeringActions& actions)
 {
     std::vector<const ListedServer*> servers;
     for (const auto& [id, entry] : m_services)
@@ -483,7 +483,7 @@
         return;
     const auto round = m_reach.beginRound(servers.size(), now);
     for (const auto* server : servers)
-        actions.emplace_back(ProbeServer { round, server->address });
+        actions.emplace_back(ProbeServer { round, server->address, isUrgent });
 }
 
 SteeringActions TrafficSteering::probed(std::uint64_t round, bool didConnect, TimePoint now)
@@ -533,7 +533,7 @@
     }
     m_unconfirmedCrashes.push_back(report);
     if (!m_reach.isProbing())
-        beginProbes(now, actions);
+        beginProbes(true, now, actions);
     return actions;
 }
 
@@ -1072,8 +1072,10 @@
             silent.insert(*request->runningAt);
     }
     m_reach.observeSilence(silent.size(), now);
-    if (m_reach.isRoundDue(now) || (!m_unconfirmedCrashes.empty() && !m_reach.isProbing()))
-        beginProbes(now, actions);
+    if (m_reach.isRoundDue(now))
+        beginProbes(false, now, actions);
+    else if (!m_unconfirmedCrashes.empty() && !m_reach.isProbing())
+        beginProbes(true, now, actions);
     for (auto* request : ended) {
         if (request->isAtPeer) {
             actions.emplace_back(CancelSend { request->handle });
