steering: a connection without a response does not end a suspicion

Callers of an instance whose connections are accepted and then reset got 502: the instance never counted as detached, because each accepted connection cleared the failures before.

Change: only a connection with a response counts as one to a server. detached-instance-tests play such a cut too and failed before (0 served).

--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -834,14 +834,15 @@
 void TrafficSteering::observeReach(
     const BackendServerId& server, const Request& request, const SendReport& report, TimePoint now)
 {
-    if (report.connectTime)
-        m_reach.connected(request.sentAt + *report.connectTime);
     switch (report.result) {
     case DispatchResult::Succeeded:
     case DispatchResult::ServerError:
     case DispatchResult::Shed:
     case DispatchResult::WrongServer:
         m_reach.responded(now);
+        // A connection that broke may have been accepted by something on the way that does not reach the server.
+        if (report.connectTime)
+            m_reach.connected(request.sentAt + *report.connectTime);
         break;
     case DispatchResult::NotSent:
     case DispatchResult::Broken:
--- a/libs/steering/tests/DetachedInstanceTest.cpp
+++ b/libs/steering/tests/DetachedInstanceTest.cpp
@@ -21,6 +21,7 @@
     Refused, // Connections are reset and new ones refused.
     Silent, // Nothing comes back.
     RefusedNew, // Open connections live on, new ones are refused.
+    Accepted, // Something on the way accepts connections and resets them.
 };
 
 /** Instances in simulated time. Callers send each request once, to a random instance. */
@@ -157,7 +158,9 @@
                 const auto kind = m_instances[index].cut;
                 if (!m_open.erase(handle) || kind == CutKind::Silent)
                     return;
-                finish(index, handle, kind == CutKind::Refused ? DispatchResult::Broken : DispatchResult::Succeeded);
+                finish(index, handle,
+                    kind == CutKind::Refused || kind == CutKind::Accepted ? DispatchResult::Broken
+                                                                          : DispatchResult::Succeeded);
             });
         } else if (*cut == CutKind::Silent) {
             m_open.insert(handle);
@@ -166,6 +169,12 @@
                     if (m_open.erase(handle))
                         finish(index, handle, DispatchResult::NotSent);
                 });
+        } else if (*cut == CutKind::Accepted) {
+            m_open.insert(handle);
+            at(m_now + 10ms, [this, index, handle] {
+                if (m_open.erase(handle))
+                    finish(index, handle, DispatchResult::Broken, 1ms);
+            });
         } else {
             m_open.insert(handle);
             at(m_now + 10ms, [this, index, handle] {
@@ -216,10 +225,12 @@
         });
     }
 
-    void finish(std::size_t index, RequestHandle handle, DispatchResult result)
+    void finish(std::size_t index, RequestHandle handle, DispatchResult result,
+        std::optional<Duration> connectTime = std::nullopt)
     {
         SendReport report;
         report.result = result;
+        report.connectTime = connectTime;
         if (result == DispatchResult::Succeeded && m_random() % 4 == 0 && !m_instances[index].cut)
             report.connectTime = 1ms;
         perform(index, m_instances[index].steering->finished(handle, report, m_now));
@@ -255,7 +266,7 @@
     /** Callers keep using an instance that reaches no server, because they keep connections and lookups. */
     void callersOfAnInstanceWithoutServersAreServed()
     {
-        for (const auto kind : { CutKind::Refused, CutKind::Silent, CutKind::RefusedNew }) {
+        for (const auto kind : { CutKind::Refused, CutKind::Silent, CutKind::RefusedNew, CutKind::Accepted }) {
             for (const std::size_t cuts : { 1, 3 }) {
                 CutFleet fleet(6, 1);
                 fleet.run(3s);
