--- a/libs/steering/tests/LimitedFleet.h
+++ b/libs/steering/tests/LimitedFleet.h
@@ -57,7 +57,7 @@
     void run(Duration time)
     {
         const auto end = m_now + time;
-        for (; m_now < end; m_now += step) {
+        for (; m_now < end; m_now += s_step) {
             if (m_now >= m_nextExchange)
                 exchangeLimits();
             for (; m_nextRequest <= m_now; m_nextRequest += fromSeconds(m_requestGap(m_random)))
@@ -109,8 +109,8 @@
     std::size_t rejected() const noexcept { return m_rejected; }
 
 private:
-    static constexpr Duration step = std::chrono::milliseconds { 20 };
-    static constexpr Duration work = std::chrono::milliseconds { 120 };
+    static constexpr Duration s_step = std::chrono::milliseconds { 20 };
+    static constexpr Duration s_work = std::chrono::milliseconds { 120 };
 
     struct Instance {
         InstanceId id;
@@ -204,7 +204,7 @@
                 const auto it = told.find(send->server);
                 m_arrivals[send->server].push_back({ m_now, limit(send->server),
                     it != told.end() && m_now - it->second >= std::chrono::milliseconds { 500 } });
-                m_runs.emplace(m_now + work, Run { index, m_instances[index].starts, send->request, send->server });
+                m_runs.emplace(m_now + s_work, Run { index, m_instances[index].starts, send->request, send->server });
             } else if (std::holds_alternative<DeliverResponse>(action)) {
                 ++m_answered;
             } else if (std::holds_alternative<RejectRequest>(action)) {
@@ -227,8 +227,9 @@
 
     double limit(const BackendServerId& server) const
     {
-        const auto it = m_limits.find(server);
-        return it == m_limits.end() ? unlimitedRate : it->second;
+        if (const auto it = m_limits.find(server); it != m_limits.end())
+            return it->second;
+        return unlimitedRate;
     }
 
     NullEventLog m_log;
--- a/libs/steering/tests/RateDivisionTest.cpp
+++ b/libs/steering/tests/RateDivisionTest.cpp
@@ -20,6 +20,7 @@
 std::vector<EntryInstance> instances(int count)
 {
     std::vector<EntryInstance> result;
+    result.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         result.push_back({ InstanceId("e-" + std::to_string(i)), i % 3 ? zagorje : jadran });
     return result;
--- a/libs/steering/tests/ServicePoolTest.cpp
+++ b/libs/steering/tests/ServicePoolTest.cpp
@@ -290,6 +290,7 @@
             auto servers = serversIn(jadran, 1);
             servers[0].coldUntil = start + 10s;
             std::vector<EntryInstance> all;
+            all.reserve(static_cast<std::size_t>(instances));
             for (int i = 0; i < instances; ++i)
                 all.push_back({ InstanceId("e-" + std::to_string(i)), i % 3 ? zagorje : jadran });
             std::vector<std::unique_ptr<ServicePool>> pools;
