steering: show that quotas refuse the requests that instances without servers pass on

detached-instance-tests gains passedRequestsAreNoLateAttempts: callers state 3 s, the route's timeout is 1.5 s. An instance that passes a request on states the time until the route's timeout, so that the request looks like one that comes back too late.

--- a/libs/steering/tests/DetachedInstanceTest.cpp
+++ b/libs/steering/tests/DetachedInstanceTest.cpp
@@ -259,6 +259,7 @@
     CPPUNIT_TEST(cutOfAllInstancesIsRejectedAtOnce);
     CPPUNIT_TEST(homedRequestsArePassedWithinTheirHomes);
     CPPUNIT_TEST(passedRequestIsNotPassedAgainNorRepeated);
+    CPPUNIT_TEST(passedRequestsAreNoLateAttempts);
     CPPUNIT_TEST(cutInstanceBlamesNoRequest);
     CPPUNIT_TEST_SUITE_END();
 
@@ -366,6 +367,41 @@
         }));
     }
 
+    /** A quota admits requests last that state less time than others, because they come back too late. Callers state
+     *  more time than the timeout of the route, and so must the instance that passes their requests on. */
+    void passedRequestsAreNoLateAttempts()
+    {
+        auto& cut = detached({ { InstanceId("e-0"), jadran }, { InstanceId("e-1"), jadran, true, false, "1" } });
+        auto limited = data();
+        limited.workspaces[0].ratePerSecond = 50;
+        TrafficSteering peer(options(), 1, m_log);
+        peer.setRoutes(*RouteTable::create(limited));
+        peer.setServers(servers(6, 1'000), start);
+        peer.quotas().setAdmission(WorkspaceId("kavana"), { 0.6, 10'000, 1s });
+        RequestHandle handle = 0;
+        const auto admits = [&](CallerRequest message) {
+            const auto actions = peer.begin(++handle, message, m_now);
+            return std::holds_alternative<SendToServer>(actions.at(0));
+        };
+        double own = 0;
+        double passed = 0;
+        constexpr int rounds = 500;
+        for (int i = 0; i < rounds; ++i) {
+            auto message = request("/book/", static_cast<std::uint64_t>(i));
+            message.remainingTime = 3s;
+            for (int j = 0; j < 3; ++j)
+                own += admits(message) ? 1.0 / 3 : 0;
+            const auto actions = cut.begin(++handle, message, m_now);
+            CPPUNIT_ASSERT(only<PassToInstance>(actions));
+            message.remainingTime = only<PassToInstance>(actions)->remainingTime;
+            message.isPassedOn = true;
+            passed += admits(message) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_MESSAGE(
+            "admitted " + std::to_string(passed / rounds) + ", others " + std::to_string(own / rounds),
+            passed >= own * 2 / 3);
+    }
+
     /** To an instance that is cut off, all servers seem to have ended while they ran requests. */
     void cutInstanceBlamesNoRequest()
     {
