steering, platform: a passed request keeps the time that its caller stated

Callers of an instance without servers were refused by the quotas of the instances that took their requests. Cause: the instance that passes a request on stated the time until the end of the route's timeout; callers state more, and a request that states less than others by more than its target latency counts as one that comes back too late, which quotas admit last. Evidence: passedRequestsAreNoLateAttempts failed, 0 of 500 passed requests admitted and 78% of others.

Change: the caller's own deadline passes on. The header states how long the request has waited, so that timeout and target latency still count from its arrival.

--- a/libs/entry/tests/GatewayHarness.h
+++ b/libs/entry/tests/GatewayHarness.h
@@ -24,7 +24,8 @@
     {
         const std::string path(request.target());
         CallerRequest caller { path, "a", path, {}, path, Duration { std::chrono::milliseconds { 800 } } };
-        caller.isPassedOn = request.count("Passed-On") > 0;
+        if (request.count("Passed-On") > 0)
+            caller.passedAfter = Duration { 0 };
         return caller;
     }
     HttpRequest requestToServer(const HttpRequest& request, const SendToServer&) const override { return request; }
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -44,7 +44,9 @@
     std::optional<Duration> remainingTime; // Time that the caller waits for the final answer, if it stated one.
     // Hash of the caller, the method, the path and the body. A repeat of the request has the same one, at any instance.
     std::uint64_t content = 0;
-    bool isPassedOn = false; // By an instance that reaches no server; it is not passed on again.
+    // Time since the request arrived at the instance that passed it on, because that one reaches no server. The request
+    // is not passed on again. Empty if the caller sent it here.
+    std::optional<Duration> passedAfter {};
 };
 
 enum class RejectReason {
@@ -100,7 +102,8 @@
     RequestHandle request = 0;
     InstanceId instance;
     std::string address;
-    Duration remainingTime { 0 };
+    Duration remainingTime { 0 }; // As the caller stated it, whatever the timeout of the route is.
+    Duration waited { 0 }; // As in CallerRequest::passedAfter.
     bool isIdempotent = false;
 };
 
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -312,20 +312,21 @@
     it.path = caller.path;
     it.key = caller.key;
     it.content = caller.content;
-    it.isPassedOn = caller.isPassedOn;
+    it.isPassedOn = caller.passedAfter.has_value();
     it.arrival = it.current = *admission;
     it.isIdempotent = route->isIdempotent;
     it.maximumAttempts = route->maximumAttempts;
-    it.arrived = now;
-    it.callerDeadline = now + caller.remainingTime.value_or(route->timeout);
-    it.answerDeadline = std::min(now + route->timeout, it.callerDeadline);
+    const auto waited = caller.passedAfter.value_or(Duration { 0 });
+    it.arrived = now - waited;
+    it.callerDeadline = caller.remainingTime ? now + *caller.remainingTime : it.arrived + route->timeout;
+    it.answerDeadline = std::min(it.arrived + route->timeout, it.callerDeadline);
     if (route->isSticky && !caller.object.empty())
         it.object = XXH3_64bits(caller.object.data(), caller.object.size());
     const auto [entry, isNew] = m_requests.emplace(handle, std::move(request));
     PERIDOT_ASSERT(isNew, "a request handle is used once");
     it.isLateAttempt = caller.remainingTime
-        && m_lateAttempts.isLate(
-            route->name, workspace ? workspace->id : WorkspaceId {}, *caller.remainingTime, route->targetLatency);
+        && m_lateAttempts.isLate(route->name, workspace ? workspace->id : WorkspaceId {},
+            *caller.remainingTime + waited, route->targetLatency);
     it.service = &service(m_split->select(*route));
     if (tryPass(it, now, actions) || !countInQuota(it, now, actions))
         return actions;
@@ -406,7 +407,7 @@
     request.passedTo.push_back(peer->id);
     request.isAtPeer = true;
     actions.emplace_back(PassToInstance { request.handle, peer->id, peer->callerAddress,
-        std::max(request.answerDeadline - now, Duration { 1'000 }), request.isIdempotent });
+        std::max(request.callerDeadline - now, Duration { 1'000 }), now - request.arrived, request.isIdempotent });
     if (m_log.isEnabled(LogLevel::Info)) {
         m_log.write(LogLevel::Info,
             LogLine("pass")
--- a/libs/steering/tests/DetachedInstanceTest.cpp
+++ b/libs/steering/tests/DetachedInstanceTest.cpp
@@ -189,7 +189,7 @@
         m_open.insert(pass.request);
         at(m_now + 10ms, [this, index, pass] {
             auto message = m_requests[m_handlings[pass.request].request].message;
-            message.isPassedOn = true;
+            message.passedAfter = pass.waited;
             message.remainingTime = pass.remainingTime;
             begin(std::stoul(pass.address), { m_handlings[pass.request].request, std::pair(index, pass.request) },
                 message);
@@ -260,6 +260,7 @@
     CPPUNIT_TEST(homedRequestsArePassedWithinTheirHomes);
     CPPUNIT_TEST(passedRequestIsNotPassedAgainNorRepeated);
     CPPUNIT_TEST(passedRequestsAreNoLateAttempts);
+    CPPUNIT_TEST(timeoutOfAPassedRequestCountsFromItsArrival);
     CPPUNIT_TEST(cutInstanceBlamesNoRequest);
     CPPUNIT_TEST_SUITE_END();
 
@@ -354,7 +355,7 @@
             CPPUNIT_ASSERT(only<RejectRequest>(actions)->reason == RejectReason::ServerFailed);
         }
         auto passed = request("/book/");
-        passed.isPassedOn = true;
+        passed.passedAfter = 0ms;
         CPPUNIT_ASSERT(only<RejectRequest>(it.begin(3, passed, m_now))->reason == RejectReason::NoServer);
         // A caller that leaves, and the deadline, close the connection to the other instance.
         it.begin(4, request("/book/"), m_now);
@@ -394,7 +395,7 @@
             const auto actions = cut.begin(++handle, message, m_now);
             CPPUNIT_ASSERT(only<PassToInstance>(actions));
             message.remainingTime = only<PassToInstance>(actions)->remainingTime;
-            message.isPassedOn = true;
+            message.passedAfter = only<PassToInstance>(actions)->waited;
             passed += admits(message) ? 1 : 0;
         }
         CPPUNIT_ASSERT_MESSAGE(
@@ -402,6 +403,19 @@
             passed >= own * 2 / 3);
     }
 
+    /** A request that waited at the instance without servers must not get the timeout of its route once more. */
+    void timeoutOfAPassedRequestCountsFromItsArrival()
+    {
+        TrafficSteering peer(options(), 1, m_log);
+        peer.setRoutes(*RouteTable::create(data()));
+        peer.setServers(servers(6, 8), start);
+        auto message = request("/book/");
+        message.passedAfter = 1s;
+        const auto actions = peer.begin(1, message, start);
+        CPPUNIT_ASSERT(only<SendToServer>(actions));
+        CPPUNIT_ASSERT(only<SendToServer>(actions)->remainingTime == 500ms);
+    }
+
     /** To an instance that is cut off, all servers seem to have ended while they ran requests. */
     void cutInstanceBlamesNoRequest()
     {
