--- a/libs/entry/src/ServerConnections.cpp
+++ b/libs/entry/src/ServerConnections.cpp
@@ -137,7 +137,7 @@
             attemptFinished(address, attempt, outcome);
     };
     const auto endpoint = parseEndpoint(address);
-    if (!endpoint) {
+    if (!endpoint || openSocket(attempt->socket, *endpoint, m_options.connection.source)) {
         asio::post(m_context, [finish] { finish(ConnectOutcome::Failed); });
         return;
     }
--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -31,8 +31,13 @@
     Duration acknowledgeTimeout = std::chrono::seconds { 2 };
     // Maximum size of a response body. It bounds the memory that a server which never stops sending can take.
     std::uint64_t responseBytes = 8'388'608;
+    std::optional<boost::asio::ip::address> source {}; // Local address; the kernel chooses one if it is empty.
 };
 
+/** Opens the socket for a connection to @p remote from the local address, if there is one. */
+boost::system::error_code openSocket(boost::asio::ip::tcp::socket&, const boost::asio::ip::tcp::endpoint& remote,
+    const std::optional<boost::asio::ip::address>& source);
+
 struct ExchangeError {
     bool wasSent = false; // Bytes of the request may have reached the server.
     bool isMalformed = false; // The server answered with bytes that are no acceptable response.
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -24,10 +24,27 @@
     constexpr unsigned maximumSkippedResponses = 16;
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
+    using BindAddressNoPort = asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
+
     bool isInformational(const HttpResponse& response) { return response.result_int() / 100 == 1; }
 
 }
 
+error_code openSocket(asio::ip::tcp::socket& socket, const asio::ip::tcp::endpoint& remote,
+    const std::optional<asio::ip::address>& source)
+{
+    error_code ec;
+    socket.open(remote.protocol(), ec);
+    if (ec || !source)
+        return ec;
+    // Connections to different servers may then share a port. Without the option there are fewer ports, so that its
+    // failure doesn't matter.
+    error_code ignored;
+    socket.set_option(BindAddressNoPort(true), ignored);
+    socket.bind({ *source, 0 }, ec);
+    return ec;
+}
+
 ClientConnection::ClientConnection(asio::io_context& context, asio::ip::tcp::endpoint endpoint,
     ClientConnectionOptions options, StateHandler onIdle, StateHandler onClosed)
     : m_context(context)
@@ -84,8 +101,7 @@
 void ClientConnection::connect()
 {
     m_state = State::Connecting;
-    error_code ec;
-    m_socket.open(m_endpoint.protocol(), ec);
+    auto ec = openSocket(m_socket, m_endpoint, m_options.source);
     if (ec) {
         asio::post(m_context, [self = shared_from_this(), ec] { self->fail("cannot open a socket: " + ec.message()); });
         return;
--- a/libs/http/tests/ClientConnectionTest.cpp
+++ b/libs/http/tests/ClientConnectionTest.cpp
@@ -26,12 +26,12 @@
 /** A server that sends raw bytes, and the connection under test. */
 class Loopback {
 public:
-    Loopback()
+    explicit Loopback(const ClientConnectionOptions& options = {})
         : acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
         , peer(context)
     {
         connection = std::make_shared<ClientConnection>(
-            context, acceptor.local_endpoint(), ClientConnectionOptions {}, [this](ClientConnection&) { ++idle; },
+            context, acceptor.local_endpoint(), options, [this](ClientConnection&) { ++idle; },
             [this](ClientConnection&) { ++closed; });
     }
 
@@ -85,6 +85,7 @@
 
 class ClientConnectionTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ClientConnectionTest);
+    CPPUNIT_TEST(connectsFromTheSourceAddress);
     CPPUNIT_TEST(connectionIsReused);
     CPPUNIT_TEST(cutResponseIsNoResponse);
     CPPUNIT_TEST(endOfConnectionDelimitsABody);
@@ -105,6 +106,15 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void connectsFromTheSourceAddress()
+    {
+        ClientConnectionOptions options;
+        options.source = asio::ip::make_address("127.0.0.9");
+        Loopback loopback(options);
+        loopback.request("/");
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.9"), loopback.peer.remote_endpoint().address().to_string());
+    }
+
     void connectionIsReused()
     {
         Loopback loopback;
