--- a/libs/entry/tests/PassedRequestTest.cpp
+++ b/libs/entry/tests/PassedRequestTest.cpp
@@ -15,13 +15,14 @@
 
 namespace {
 
-/** Runs @p harness and @p other until the harness's caller has received @p text. */
-bool receives(CallerAndGateway& harness, CallerAndGateway& other, const std::string& text)
+/** Runs @p harness and @p others until the harness's caller has received @p text. */
+bool receives(CallerAndGateway& harness, const std::vector<CallerAndGateway*>& others, const std::string& text)
 {
     return harness.runUntil([&] {
-        other.runUntil([] { return true; }, std::chrono::milliseconds { 1 });
-        other.context.restart();
-        other.context.poll();
+        for (auto* other : others) {
+            other->context.restart();
+            other->context.poll();
+        }
         return harness.received.find(text) != std::string::npos;
     });
 }
@@ -46,6 +47,7 @@
     CPPUNIT_TEST_SUITE(PassedRequestTest);
     CPPUNIT_TEST(instanceWithoutServersPassesRequests);
     CPPUNIT_TEST(lostInstanceIsReplacedByAnother);
+    CPPUNIT_TEST(instanceThatCannotServeIsReplacedByAnother);
     CPPUNIT_TEST_SUITE_END();
 
     static SteeringOptions options(const std::string& instance)
@@ -90,7 +92,7 @@
         cut.steering.setInstances({ { InstanceId("e-0"), RegionId("jadran"), true, true, {} },
             { InstanceId("e-1"), RegionId("jadran"), true, false, addressOf(peer) } });
         cut.send("/book", "two seats", "POST");
-        CPPUNIT_ASSERT_MESSAGE(cut.received, receives(cut, peer, "from the server"));
+        CPPUNIT_ASSERT_MESSAGE(cut.received, receives(cut, { &peer }, "from the server"));
         CPPUNIT_ASSERT_EQUAL(std::string("two seats"), seen);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, cut.steering.counters().passed);
     }
@@ -113,7 +115,36 @@
             { InstanceId("e-2"), RegionId("jadran"), true, false, gone } });
         for (int i = 0; i < 8; ++i) {
             cut.send("/book");
-            CPPUNIT_ASSERT_MESSAGE(cut.received, receives(cut, peer, "from the server"));
+            CPPUNIT_ASSERT_MESSAGE(cut.received, receives(cut, { &peer }, "from the server"));
+            cut.received.clear();
+        }
+    }
+
+    /** Other instances may be cut off at the same time, or leave, before this one hears of it. */
+    void instanceThatCannotServeIsReplacedByAnother()
+    {
+        CallerAndGateway cut(options("e-0"));
+        CallerAndGateway cutToo(options("e-1"));
+        CallerAndGateway leaving(options("e-2"));
+        CallerAndGateway peer(options("e-3"));
+        for (auto* it : { &cut, &cutToo, &leaving, &peer })
+            it->setRoute(false, 1);
+        HttpServer server(peer.context, {}, 10, [&](const auto& exchange) {
+            exchange->respond(makeResponse(boost::beast::http::status::ok, "text/plain", "from the server"));
+        });
+        CPPUNIT_ASSERT(server.listen("127.0.0.1:0"));
+        peer.setServers({ server.port() });
+        leaving.gateway.rejectNewRequests();
+        detach(cut);
+        detach(cutToo);
+        std::vector<EntryInstance> instances { { InstanceId("e-0"), RegionId("jadran"), true, true, {} } };
+        for (auto* it : { &cutToo, &leaving, &peer })
+            instances.push_back({ InstanceId("e-" + std::to_string(instances.size())), RegionId("jadran"), true, false,
+                addressOf(*it) });
+        cut.steering.setInstances(instances);
+        for (int i = 0; i < 8; ++i) {
+            cut.send("/book");
+            CPPUNIT_ASSERT_MESSAGE(cut.received, receives(cut, { &cutToo, &leaving, &peer }, "from the server"));
             cut.received.clear();
         }
     }
