steering, entry, platform: a request is passed to another instance if one is unable to serve it

Callers of instances that are cut off together got 503 for the first second: an instance knows of the others what their heartbeats said, and passed requests to instances that were detached as well. The same holds for instances that leave or have just started.

Change: a rejection whose reason lies with the instance says so in a header; the request then goes to the next instance, and others are preferred to that one for 1 s.

--- a/libs/entry/include/entry/CallerProtocol.h
+++ b/libs/entry/include/entry/CallerProtocol.h
@@ -34,6 +34,8 @@
     virtual HttpRequest requestToInstance(const HttpRequest&, const PassToInstance&) const = 0;
     /** Decides whether a response that another entry instance returned belongs to the request with this id. */
     virtual ResponseVerdict checkFromInstance(const HttpResponse&, const std::string& requestId) const = 0;
+    /** Returns Shed if the other instance states that it is unable to serve the request, which has not run. */
+    virtual DispatchResult inspectInstanceResponse(const HttpResponse&) const = 0;
     /** Converts the response of another entry instance to the response for the caller. */
     virtual HttpResponse instanceResponseToCaller(HttpResponse) const = 0;
     /** Decides whether a response that was read from the connection belongs to the request with this id. On a reused
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -172,6 +172,8 @@
     it->second.connection.reset();
     SendReport sendReport;
     if (result) {
+        sendReport.result = m_protocol.inspectInstanceResponse(*result);
+        sendReport.detail = "status " + std::to_string(result->result_int());
         it->second.response = std::move(*result);
     } else {
         const auto& error = result.error();
--- a/libs/entry/tests/GatewayHarness.h
+++ b/libs/entry/tests/GatewayHarness.h
@@ -39,6 +39,10 @@
     {
         return ResponseVerdict::Accept;
     }
+    DispatchResult inspectInstanceResponse(const HttpResponse& response) const override
+    {
+        return response.count("Unable") > 0 ? DispatchResult::Shed : DispatchResult::Succeeded;
+    }
     HttpResponse instanceResponseToCaller(HttpResponse response) const override { return response; }
     ResponseVerdict check(const HttpResponse&, const std::string&, bool) const override
     {
@@ -53,6 +57,8 @@
     {
         HttpResponse response(boost::beast::http::status::service_unavailable, 11);
         response.body() = std::string(enumName(reject.reason));
+        if (isInstanceUnable(reject.reason))
+            response.set("Unable", "1");
         response.prepare_payload();
         return response;
     }
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -61,6 +61,7 @@
     ShiftLimited, // The request may run in other regions only, and their share of the requests may not grow faster.
     Expired, // The deadline or timeout passed while the request was not running at a server.
     NoServer, // No server may take the request.
+    Detached, // This instance reaches no server, and none takes the request to which it could be passed.
     EndsServers, // Several servers have ended while they ran this request.
     NotExecuted, // Servers refused the request before running it.
     ServerFailed, // The request may have run.
@@ -68,7 +69,7 @@
 };
 
 template <>
-inline constexpr EnumNameTable<RejectReason, 15> enumNames<RejectReason> { {
+inline constexpr EnumNameTable<RejectReason, 16> enumNames<RejectReason> { {
     { RejectReason::Starting, "starting" },
     { RejectReason::Unconfirmed, "unconfirmed" },
     { RejectReason::Leaving, "leaving" },
@@ -80,12 +81,20 @@
     { RejectReason::ShiftLimited, "shift_limited" },
     { RejectReason::Expired, "expired" },
     { RejectReason::NoServer, "no_server" },
+    { RejectReason::Detached, "detached" },
     { RejectReason::EndsServers, "ends_servers" },
     { RejectReason::NotExecuted, "not_executed" },
     { RejectReason::ServerFailed, "server_failed" },
     { RejectReason::TimedOut, "timed_out" },
 } };
 
+/** Whether the reason lies with the instance that rejects the request, so that another one may serve it. */
+constexpr bool isInstanceUnable(RejectReason reason) noexcept
+{
+    return reason == RejectReason::Starting || reason == RejectReason::Unconfirmed || reason == RejectReason::Leaving
+        || reason == RejectReason::Detached;
+}
+
 /** Instructs the caller of TrafficSteering to send the request to this server once. */
 struct SendToServer {
     RequestHandle request = 0;
@@ -97,7 +106,8 @@
 };
 
 /** Instructs the caller of TrafficSteering to pass the request to another instance once, as if the caller had sent it
- *  there, and to report the result as for a send. Any response of the instance counts as succeeded. */
+ *  there, and to report the result as for a send: Shed if the instance is unable to serve it (isInstanceUnable()),
+ *  Succeeded with any other response. */
 struct PassToInstance {
     RequestHandle request = 0;
     InstanceId instance;
@@ -311,7 +321,7 @@
      */
     bool tryPass(Request&, TimePoint now, SteeringActions&);
     /** Chooses the instance to pass the request to; null if there is none. */
-    const EntryInstance* choosePeer(const Request&);
+    const EntryInstance* choosePeer(const Request&, TimePoint now);
     void passFinished(Request&, const SendReport&, TimePoint now, SteeringActions&);
     void beginProbes(bool isUrgent, TimePoint now, SteeringActions&);
     /** Follows a change of ServerReach. */
@@ -350,6 +360,7 @@
     EventLog& m_log;
     std::uint64_t m_seed;
     std::vector<EntryInstance> m_instances; // Empty before the first call of setInstances().
+    std::map<InstanceId, TimePoint> m_unableUntil; // Instances that could not take a request that was passed to them.
     std::size_t m_localInstances = 1; // Live ones in the own region.
     std::shared_ptr<const RateDivision> m_division; // Among m_instances.
     KnowledgeGuard m_knowledge;
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -28,6 +28,8 @@
     // A pass over the queue stops choosing servers after this many requests for which no server has a free slot.
     constexpr std::size_t maximumWaitingPerPass = 24;
     constexpr unsigned maximumPasses = 3; // Instances that are tried for one request.
+    // For this long after an instance could not take a request, others are preferred. Its heartbeats tell by then.
+    constexpr Duration unableMemory = std::chrono::seconds { 1 };
     constexpr unsigned maximumSends = 4; // Sends of one request, including those that servers refuse.
     constexpr Duration startingRetryAfter = std::chrono::milliseconds { 300 };
     constexpr Duration noServerRetryAfter = std::chrono::milliseconds { 500 };
@@ -397,7 +399,7 @@
 {
     if (!m_reach.isDetached() || request.isPassedOn || request.runs > 0 || request.passedTo.size() >= maximumPasses)
         return false;
-    const auto* peer = choosePeer(request);
+    const auto* peer = choosePeer(request, now);
     if (!peer)
         return false;
     // The other instance counts the request in the quota.
@@ -420,27 +422,34 @@
     return true;
 }
 
-/** Prefers the own region, unless more of its instances are detached than are left to take their requests. */
-const EntryInstance* TrafficSteering::choosePeer(const Request& request)
+/** Prefers the own region, unless more of its instances are unable than are left to take their requests. */
+const EntryInstance* TrafficSteering::choosePeer(const Request& request, TimePoint now)
 {
     const auto wanted = query(request);
+    std::erase_if(m_unableUntil, [now](const auto& it) { return it.second <= now; });
     std::vector<const EntryInstance*> all;
     std::vector<const EntryInstance*> local;
-    std::size_t localDetached = 1; // This instance.
+    std::vector<const EntryInstance*> unable; // Not long ago.
+    std::size_t localUnable = 1; // This instance.
     for (const auto& it : m_instances) {
         const bool isLocal = it.region == m_options.region;
         if (it.id == m_options.instance)
             continue;
-        localDetached += isLocal && it.isDetached ? 1 : 0;
+        const bool wasUnable = m_unableUntil.contains(it.id);
+        localUnable += isLocal && (it.isDetached || wasUnable) ? 1 : 0;
         const bool isTried
             = std::find(request.passedTo.begin(), request.passedTo.end(), it.id) != request.passedTo.end();
         if (!it.isLive || it.isDetached || it.callerAddress.empty() || isTried || !wanted.allows(it.region))
             continue;
+        if (wasUnable) {
+            unable.push_back(&it);
+            continue;
+        }
         all.push_back(&it);
         if (isLocal)
             local.push_back(&it);
     }
-    const auto& candidates = local.size() >= localDetached ? local : all;
+    const auto& candidates = local.size() >= localUnable ? local : all.empty() ? unable : all;
     return candidates.empty() ? nullptr : candidates[m_random() % candidates.size()];
 }
 
@@ -457,7 +466,8 @@
             .add("instance", request.passedTo.back())
             .add("result", enumName(report.result))
             .add("detail", report.detail));
-    if (report.result == DispatchResult::NotSent) {
+    if (report.result == DispatchResult::NotSent || report.result == DispatchResult::Shed) {
+        m_unableUntil[request.passedTo.back()] = now + unableMemory;
         if (tryPass(request, now, actions))
             return;
         if (countInQuota(request, now, actions))
@@ -635,7 +645,7 @@
         return;
     // Open connections may live on, so that responses still come.
     if (m_reach.isDetached() && !m_reach.hasResponses(now)) {
-        reject(request, RejectReason::NoServer, noServerRetryAfter, now, actions);
+        reject(request, RejectReason::Detached, noServerRetryAfter, now, actions);
         return;
     }
     const auto wanted = query(request);
