steering: show that requests wait for connections that an instance without servers opens

An instance finds out about 1.1 s after a silent cut. Requests whose connections are being opened then have certainly not run, but wait for the connect timeout. detached-instance-tests gain requestsThatAreStillConnectingArePassedAtOnce, which fails: 1.14 s to the answer of a request sent 0.3 s before.

--- a/libs/steering/tests/DetachedInstanceTest.cpp
+++ b/libs/steering/tests/DetachedInstanceTest.cpp
@@ -79,6 +79,17 @@
         }
         return share;
     }
+    /** The longest time to the answer of requests that were sent since @p from on a connection that was being opened.
+     */
+    Duration longestWhileConnecting(TimePoint from) const
+    {
+        Duration longest { 0 };
+        for (const auto& [id, request] : m_requests) {
+            if (request.wasConnecting && request.sent >= from)
+                longest = std::max(longest, request.answered.value_or(m_now) - request.sent);
+        }
+        return longest;
+    }
     /** Requests that ran more often than they may. */
     std::size_t repeatedRuns() const
     {
@@ -100,6 +111,8 @@
         CallerRequest message;
         bool isIdempotent = true;
         bool isServed = false;
+        bool wasConnecting = false; // To a server that it didn't reach.
+        std::optional<TimePoint> answered;
         unsigned runs = 0;
     };
 
@@ -164,11 +177,13 @@
             });
         } else if (*cut == CutKind::Silent) {
             m_open.insert(handle);
-            if (m_random() % 2) // On a new connection.
+            if (m_random() % 2) { // On a new connection.
+                m_requests[m_handlings[handle].request].wasConnecting = true;
                 at(m_now + 1s, [this, index, handle] {
                     if (m_open.erase(handle))
                         finish(index, handle, DispatchResult::NotSent);
                 });
+            }
         } else if (*cut == CutKind::Accepted) {
             m_open.insert(handle);
             at(m_now + 10ms, [this, index, handle] {
@@ -213,11 +228,11 @@
     void answer(RequestHandle handle, bool isServed)
     {
         const auto handling = m_handlings[handle];
-        if (!handling.passedBy) {
-            m_requests[handling.request].isServed = isServed;
+        auto& request = m_requests[handling.request];
+        request.isServed = isServed;
+        request.answered = m_now;
+        if (!handling.passedBy)
             return;
-        }
-        m_requests[handling.request].isServed = isServed;
         const auto [index, passed] = *handling.passedBy;
         at(m_now + 10ms, [this, index = index, passed = passed] {
             if (m_open.erase(passed))
@@ -255,6 +270,7 @@
 class DetachedInstanceTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(DetachedInstanceTest);
     CPPUNIT_TEST(callersOfAnInstanceWithoutServersAreServed);
+    CPPUNIT_TEST(requestsThatAreStillConnectingArePassedAtOnce);
     CPPUNIT_TEST(attachedInstanceServesItsCallersItself);
     CPPUNIT_TEST(cutOfAllInstancesIsRejectedAtOnce);
     CPPUNIT_TEST(homedRequestsArePassedWithinTheirHomes);
@@ -290,6 +306,22 @@
         }
     }
 
+    /** Connections to silent servers open for a second before they fail, and nothing was sent on them until then. */
+    void requestsThatAreStillConnectingArePassedAtOnce()
+    {
+        CutFleet fleet(6, 3);
+        fleet.run(3s);
+        fleet.cut(0, CutKind::Silent);
+        const auto began = fleet.now();
+        while (!fleet.steering(0).isDetached() && fleet.now() < began + 2s)
+            fleet.run(10ms);
+        CPPUNIT_ASSERT(fleet.steering(0).isDetached());
+        const auto detached = fleet.now();
+        fleet.run(3s);
+        const auto longest = fleet.longestWhileConnecting(detached - 300ms);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(toSeconds(longest)) + " s", longest > 0ms && longest < 600ms);
+    }
+
     /** An instance that went on passing requests, or avoided the servers that it had failed to reach, would load its
      *  peers for no reason. */
     void attachedInstanceServesItsCallersItself()
