steering, entry, http: sends that are still connecting are withdrawn when an instance is detached

Cause: a send ends with its result only, so that requests to silent servers waited for the connect timeout although the instance knew by then that it reaches no server, and nothing of them was sent.

Change: an action withdraws a send; it ends, as neither a failure of the server nor a send, if no byte was sent. The test's fleet numbers its sends, because a late result of one could end the next one of the same request.

--- a/libs/entry/include/entry/RequestGateway.h
+++ b/libs/entry/include/entry/RequestGateway.h
@@ -57,9 +57,11 @@
     void perform(const PassToInstance&);
     void perform(const ProbeServer&);
     void perform(const CancelSend&);
+    void perform(const WithdrawSend&);
     void perform(const DeliverResponse&);
     void perform(const RejectRequest&);
-    void reportNotSent(RequestHandle, std::string detail);
+    /** Reports a send later that ended before a byte was sent. */
+    void reportUnsent(RequestHandle, DispatchResult, std::string detail);
     void passFinished(RequestHandle, const std::shared_ptr<ClientConnection>&, ExchangeResult);
     void sendFinished(RequestHandle, const std::shared_ptr<ClientConnection>&, ExchangeResult);
     /** Reports to TrafficSteering if the server of the request's last send, which ended without a response, has ended.
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -120,7 +120,8 @@
     auto& request = it->second;
     auto connection = m_connections.acquire(send.server, send.address, send.isIdempotent);
     if (!connection) {
-        reportNotSent(send.request, "connection limit of the server reached or server address invalid");
+        reportUnsent(
+            send.request, DispatchResult::NotSent, "connection limit of the server reached or server address invalid");
         return;
     }
     request.connection = connection;
@@ -135,11 +136,11 @@
             ExchangeResult result) { sendFinished(handle, connection, std::move(result)); });
 }
 
-void RequestGateway::reportNotSent(RequestHandle handle, std::string detail)
+void RequestGateway::reportUnsent(RequestHandle handle, DispatchResult result, std::string detail)
 {
-    asio::post(m_context, [this, isAlive = m_isAlive, handle, detail = std::move(detail)] {
+    asio::post(m_context, [this, isAlive = m_isAlive, handle, result, detail = std::move(detail)] {
         if (*isAlive)
-            report(handle, { DispatchResult::NotSent, {}, {}, detail });
+            report(handle, { result, {}, {}, detail });
     });
 }
 
@@ -151,7 +152,8 @@
     auto& request = it->second;
     auto connection = m_peers.acquire(BackendServerId(pass.instance.value()), pass.address, pass.isIdempotent);
     if (!connection) {
-        reportNotSent(pass.request, "connection limit of the instance reached or instance address invalid");
+        reportUnsent(pass.request, DispatchResult::NotSent,
+            "connection limit of the instance reached or instance address invalid");
         return;
     }
     request.connection = connection;
@@ -251,6 +253,15 @@
     connection->close();
 }
 
+void RequestGateway::perform(const WithdrawSend& withdraw)
+{
+    const auto it = m_requests.find(withdraw.request);
+    if (it == m_requests.end() || !it->second.connection || it->second.connection->hasSent())
+        return;
+    std::exchange(it->second.connection, nullptr)->close();
+    reportUnsent(withdraw.request, DispatchResult::Withdrawn, "the connection was being opened");
+}
+
 void RequestGateway::perform(const DeliverResponse& deliver)
 {
     const auto it = m_requests.find(deliver.request);
--- a/libs/entry/tests/PassedRequestTest.cpp
+++ b/libs/entry/tests/PassedRequestTest.cpp
@@ -7,8 +7,11 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+#include <cstdint>
 #include <memory>
-#include <set>
 #include <string>
 
 using namespace peridot;
@@ -43,11 +46,30 @@
 
 }
 
+/** Listens, but the kernel drops all that arrives, so that connections to it stay half open. */
+class SilentListener {
+public:
+    explicit SilentListener(boost::asio::io_context& context)
+        : m_acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    {
+        sock_filter drop[] = { BPF_STMT(BPF_RET | BPF_K, 0) };
+        const sock_fprog filter { 1, drop };
+        CPPUNIT_ASSERT_EQUAL(
+            0, ::setsockopt(m_acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter));
+    }
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+private:
+    boost::asio::ip::tcp::acceptor m_acceptor;
+};
+
 class PassedRequestTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PassedRequestTest);
     CPPUNIT_TEST(instanceWithoutServersPassesRequests);
     CPPUNIT_TEST(lostInstanceIsReplacedByAnother);
     CPPUNIT_TEST(instanceThatCannotServeIsReplacedByAnother);
+    CPPUNIT_TEST(requestWhoseConnectionIsBeingOpenedIsPassed);
     CPPUNIT_TEST_SUITE_END();
 
     static SteeringOptions options(const std::string& instance)
@@ -148,6 +170,36 @@
             cut.received.clear();
         }
     }
+
+    /** In a silent cut nothing of such a request was sent; it would wait for the connect timeout. */
+    void requestWhoseConnectionIsBeingOpenedIsPassed()
+    {
+        auto settings = options("e-0");
+        settings.reach.silence = std::chrono::milliseconds { 50 };
+        ServerConnectionsOptions connections;
+        connections.attemptTimeout = std::chrono::milliseconds { 50 };
+        connections.connection.connectTimeout = std::chrono::seconds { 5 };
+        CallerAndGateway cut(settings, connections);
+        CallerAndGateway peer(options("e-1"));
+        cut.setRoute(false, 1);
+        peer.setRoute(false, 1);
+        HttpServer server(peer.context, {}, 10, [&](const auto& exchange) {
+            exchange->respond(makeResponse(boost::beast::http::status::ok, "text/plain", "from the server"));
+        });
+        CPPUNIT_ASSERT(server.listen("127.0.0.1:0"));
+        peer.setServers({ server.port() });
+        SilentListener listeners[] = { SilentListener(cut.context), SilentListener(cut.context) };
+        cut.setServers({ listeners[0].port(), listeners[1].port() });
+        cut.steering.setInstances({ { InstanceId("e-0"), RegionId("jadran"), true, false, {} },
+            { InstanceId("e-1"), RegionId("jadran"), true, false, addressOf(peer) } });
+        // As many as it takes to have one at each server.
+        for (int i = 0; i < 8; ++i)
+            cut.send("/book/" + std::to_string(i), "a seat", "POST");
+        CPPUNIT_ASSERT_MESSAGE(cut.received, receives(cut, { &peer }, "from the server"));
+        CPPUNIT_ASSERT(cut.steering.isDetached());
+        const auto& results = cut.steering.counters().results;
+        CPPUNIT_ASSERT(results.contains(DispatchResult::Withdrawn) && !results.contains(DispatchResult::NotSent));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PassedRequestTest);
--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -72,6 +72,8 @@
     /** Closes without calling the result handler; a running request is thereby cancelled. */
     void close();
 
+    /** Whether bytes of the newest request may have reached the server. */
+    bool hasSent() const noexcept { return m_wasSent; }
     bool isOpen() const noexcept { return m_state == State::Open; }
     bool isBusy() const noexcept { return static_cast<bool>(m_onResult); }
     /** Whether a request was sent on this connection before the current one, so that a response to it may still
--- a/libs/steering/include/steering/ServicePool.h
+++ b/libs/steering/include/steering/ServicePool.h
@@ -38,10 +38,11 @@
     NotSent, // No byte of the request was sent.
     Broken, // Lost or malformed response; the request may have run.
     Cancelled, // The caller disconnected or its deadline passed.
+    Withdrawn, // By WithdrawSend; no byte of the request was sent.
 };
 
 template <>
-inline constexpr EnumNameTable<DispatchResult, 7> enumNames<DispatchResult> { {
+inline constexpr EnumNameTable<DispatchResult, 8> enumNames<DispatchResult> { {
     { DispatchResult::Succeeded, "succeeded" },
     { DispatchResult::ServerError, "server_error" },
     { DispatchResult::Shed, "shed" },
@@ -49,6 +50,7 @@
     { DispatchResult::NotSent, "not_sent" },
     { DispatchResult::Broken, "broken" },
     { DispatchResult::Cancelled, "cancelled" },
+    { DispatchResult::Withdrawn, "withdrawn" },
 } };
 
 struct ServicePoolOptions {
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -129,6 +129,12 @@
     RequestHandle request = 0;
 };
 
+/** Instructs the caller of TrafficSteering to close the connection of the running send and to report it as Withdrawn,
+ * if no byte of the request was sent yet. Otherwise nothing changes. */
+struct WithdrawSend {
+    RequestHandle request = 0;
+};
+
 /** Instructs the caller of TrafficSteering to forward the response of the send that has just finished. */
 struct DeliverResponse {
     RequestHandle request = 0;
@@ -141,7 +147,7 @@
 };
 
 using SteeringAction
-    = std::variant<SendToServer, PassToInstance, ProbeServer, CancelSend, DeliverResponse, RejectRequest>;
+    = std::variant<SendToServer, PassToInstance, ProbeServer, CancelSend, WithdrawSend, DeliverResponse, RejectRequest>;
 using SteeringActions = std::vector<SteeringAction>;
 
 struct SendReport {
--- a/libs/steering/src/ServicePool.cpp
+++ b/libs/steering/src/ServicePool.cpp
@@ -459,6 +459,7 @@
         m_orders.clear();
         break;
     case DispatchResult::Cancelled:
+    case DispatchResult::Withdrawn:
         break;
     }
 }
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -528,6 +528,10 @@
             enqueue(*request, now, actions);
         }
     }
+    for (const auto& [handle, request] : m_requests) {
+        if (request->runningAt)
+            actions.emplace_back(WithdrawSend { handle });
+    }
 }
 
 SteeringActions TrafficSteering::serverEnded(const CrashReport& report, TimePoint now)
@@ -860,6 +864,7 @@
         m_reach.sendFailed(server, now);
         break;
     case DispatchResult::Cancelled:
+    case DispatchResult::Withdrawn:
         break;
     }
 }
@@ -884,12 +889,14 @@
             report.responseBytes);
     }
     const bool hasNotRun = report.result == DispatchResult::Shed || report.result == DispatchResult::WrongServer
-        || report.result == DispatchResult::NotSent;
+        || report.result == DispatchResult::NotSent || report.result == DispatchResult::Withdrawn;
     if (!hasNotRun)
         ++request.runs;
     if (report.result == DispatchResult::Succeeded || report.result == DispatchResult::ServerError)
         m_crashes.completed(request.content);
-    if (report.result != DispatchResult::Succeeded)
+    if (report.result == DispatchResult::Withdrawn)
+        --request.sends;
+    else if (report.result != DispatchResult::Succeeded)
         request.excluded.push_back(server);
 }
 
@@ -944,7 +951,9 @@
     const auto refusal = reasonNotToSend(request);
     const bool mayRunAgain = !refusal && request.mayRunAgain();
     const bool hasTime = now + request.expectedWork < request.answerDeadline;
-    const bool needsNoRetryBudget = report.result == DispatchResult::NotSent; // The server has received nothing.
+    // The server has received nothing.
+    const bool needsNoRetryBudget
+        = report.result == DispatchResult::NotSent || report.result == DispatchResult::Withdrawn;
     if (mayRunAgain && hasTime && request.sends < maximumSends
         && (needsNoRetryBudget || request.service->retries.tryRetry(now))) {
         ++m_counters.retries;
--- a/libs/steering/tests/DetachedInstanceTest.cpp
+++ b/libs/steering/tests/DetachedInstanceTest.cpp
@@ -116,10 +116,21 @@
         unsigned runs = 0;
     };
 
+    struct Send {
+        std::uint64_t number = 0;
+        bool isConnecting = false; // To a server that the instance doesn't reach, without a byte sent.
+    };
+
+    struct Passed {
+        std::size_t instance = 0;
+        RequestHandle handle = 0;
+        std::uint64_t send = 0;
+    };
+
     /** A request at an instance, and where its answer goes: to the caller or to the instance that passed it on. */
     struct Handling {
         std::uint64_t request = 0;
-        std::optional<std::pair<std::size_t, RequestHandle>> passedBy;
+        std::optional<Passed> passedBy;
     };
 
     void publishInstances()
@@ -159,55 +170,68 @@
             std::visit([&](const auto& it) { perform(index, it); }, action);
     }
 
+    /** Notes a send of the request. Returns its number, for close(). */
+    std::uint64_t open(RequestHandle handle, bool isConnecting = false)
+    {
+        m_open[handle] = { ++m_lastSend, isConnecting };
+        return m_lastSend;
+    }
+
+    /** Returns whether the send was open until now. */
+    bool close(RequestHandle handle, std::uint64_t send)
+    {
+        const auto it = m_open.find(handle);
+        if (it == m_open.end() || it->second.number != send)
+            return false;
+        m_open.erase(it);
+        return true;
+    }
+
+    void finishAt(TimePoint time, std::size_t index, RequestHandle handle, std::uint64_t send, DispatchResult result,
+        std::optional<Duration> connectTime = std::nullopt)
+    {
+        at(time, [=, this] {
+            if (close(handle, send))
+                finish(index, handle, result, connectTime);
+        });
+    }
+
     void perform(std::size_t index, const SendToServer& send)
     {
         const auto handle = send.request;
         const auto cut = m_instances[index].cut;
         if (!cut) {
             ++m_requests[m_handlings[handle].request].runs;
-            m_open.insert(handle);
-            at(m_now + 120ms, [this, index, handle] {
+            at(m_now + 120ms, [this, index, handle, number = open(handle)] {
                 // A cut that began meanwhile takes the response.
                 const auto kind = m_instances[index].cut;
-                if (!m_open.erase(handle) || kind == CutKind::Silent)
+                if (!close(handle, number) || kind == CutKind::Silent)
                     return;
                 finish(index, handle,
                     kind == CutKind::Refused || kind == CutKind::Accepted ? DispatchResult::Broken
                                                                           : DispatchResult::Succeeded);
             });
         } else if (*cut == CutKind::Silent) {
-            m_open.insert(handle);
-            if (m_random() % 2) { // On a new connection.
-                m_requests[m_handlings[handle].request].wasConnecting = true;
-                at(m_now + 1s, [this, index, handle] {
-                    if (m_open.erase(handle))
-                        finish(index, handle, DispatchResult::NotSent);
-                });
-            }
+            const bool isConnecting = m_random() % 2 != 0;
+            const auto number = open(handle, isConnecting);
+            m_requests[m_handlings[handle].request].wasConnecting = isConnecting;
+            if (isConnecting)
+                finishAt(m_now + 1s, index, handle, number, DispatchResult::NotSent);
         } else if (*cut == CutKind::Accepted) {
-            m_open.insert(handle);
-            at(m_now + 10ms, [this, index, handle] {
-                if (m_open.erase(handle))
-                    finish(index, handle, DispatchResult::Broken, 1ms);
-            });
+            finishAt(m_now + 10ms, index, handle, open(handle), DispatchResult::Broken, 1ms);
         } else {
-            m_open.insert(handle);
-            at(m_now + 10ms, [this, index, handle] {
-                if (m_open.erase(handle))
-                    finish(index, handle, DispatchResult::NotSent);
-            });
+            finishAt(m_now + 10ms, index, handle, open(handle), DispatchResult::NotSent);
         }
     }
 
     void perform(std::size_t index, const PassToInstance& pass)
     {
-        m_open.insert(pass.request);
-        at(m_now + 10ms, [this, index, pass] {
+        at(m_now + 10ms, [this, index, pass, number = open(pass.request)] {
             auto message = m_requests[m_handlings[pass.request].request].message;
             message.passedAfter = pass.waited;
             message.remainingTime = pass.remainingTime;
-            begin(std::stoul(pass.address), { m_handlings[pass.request].request, std::pair(index, pass.request) },
-                message);
+            begin(std::stoul(pass.address),
+                { m_handlings[pass.request].request, Passed { index, pass.request, number } }, message);
         });
     }
 
@@ -221,6 +245,12 @@
 
     void perform(std::size_t, const CancelSend& cancel) { m_open.erase(cancel.request); }
 
+    void perform(std::size_t index, const WithdrawSend& withdraw)
+    {
+        if (const auto it = m_open.find(withdraw.request); it != m_open.end() && it->second.isConnecting)
+            finishAt(m_now, index, withdraw.request, it->second.number, DispatchResult::Withdrawn);
+    }
+
     void perform(std::size_t, const DeliverResponse& deliver) { answer(deliver.request, true); }
 
     void perform(std::size_t, const RejectRequest& reject) { answer(reject.request, false); }
@@ -233,11 +263,8 @@
         request.answered = m_now;
         if (!handling.passedBy)
             return;
-        const auto [index, passed] = *handling.passedBy;
-        at(m_now + 10ms, [this, index = index, passed = passed] {
-            if (m_open.erase(passed))
-                finish(index, passed, DispatchResult::Succeeded);
-        });
+        const auto& passed = *handling.passedBy;
+        finishAt(m_now + 10ms, passed.instance, passed.handle, passed.send, DispatchResult::Succeeded);
     }
 
     void finish(std::size_t index, RequestHandle handle, DispatchResult result,
@@ -259,7 +286,8 @@
     std::vector<Instance> m_instances;
     std::map<std::uint64_t, Request> m_requests;
     std::map<RequestHandle, Handling> m_handlings;
-    std::set<RequestHandle> m_open; // Sends without a result.
+    std::map<RequestHandle, Send> m_open; // Sends without a result.
+    std::uint64_t m_lastSend = 0;
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::uint64_t m_lastRequest = 0;
     RequestHandle m_lastHandle = 0;
