--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -38,6 +38,15 @@
         return content == 0 ? 1 : content; // 0 stands for unknown.
     }
 
+    /** Records an exchange over one of @p connections that ended without a response. */
+    void recordFailure(const ExchangeError& error, ServerConnections& connections, SendReport& report)
+    {
+        report.result = error.wasSent ? DispatchResult::Broken : DispatchResult::NotSent;
+        report.detail = error.message;
+        if (error.wasSent && error.wasReused && !error.isMalformed)
+            connections.onIdleConnectionBroken(error.idleTime);
+    }
+
 }
 
 RequestGateway::RequestGateway(asio::io_context& context, TrafficSteering& steering, const CallerProtocol& protocol,
@@ -178,11 +187,7 @@
         sendReport.detail = "status " + std::to_string(result->result_int());
         it->second.response = std::move(*result);
     } else {
-        const auto& error = result.error();
-        sendReport.result = error.wasSent ? DispatchResult::Broken : DispatchResult::NotSent;
-        sendReport.detail = error.message;
-        if (error.wasSent && error.wasReused && !error.isMalformed)
-            m_peers.onIdleConnectionBroken(error.idleTime);
+        recordFailure(result.error(), m_peers, sendReport);
     }
     report(handle, sendReport);
 }
@@ -217,12 +222,8 @@
             sendReport.detail = "status " + std::to_string(result->result_int());
         it->second.response = std::move(*result);
     } else {
-        const auto& error = result.error();
-        sendReport.result = error.wasSent ? DispatchResult::Broken : DispatchResult::NotSent;
-        sendReport.detail = error.message;
-        if (error.wasSent && error.wasReused && !error.isMalformed)
-            m_connections.onIdleConnectionBroken(error.idleTime);
-        if (error.wasSent)
+        recordFailure(result.error(), m_connections, sendReport);
+        if (result.error().wasSent)
             checkServerEnded(it->second);
     }
     report(handle, sendReport);
--- a/libs/entry/tests/PassedRequestTest.cpp
+++ b/libs/entry/tests/PassedRequestTest.cpp
@@ -64,6 +64,24 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
 };
 
+/** An instance with a server that responds to each request. */
+struct ServingInstance : CallerAndGateway {
+    explicit ServingInstance(const SteeringOptions& options)
+        : CallerAndGateway(options)
+        , server(context, {}, 10, [this](const auto& exchange) {
+            seen = exchange->request.body();
+            exchange->respond(makeResponse(boost::beast::http::status::ok, "text/plain", "from the server"));
+        })
+    {
+        setRoute(false, 1);
+        CPPUNIT_ASSERT(server.listen("127.0.0.1:0"));
+        setServers({ server.port() });
+    }
+
+    HttpServer server;
+    std::string seen; // Body of the server's last request.
+};
+
 class PassedRequestTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PassedRequestTest);
     CPPUNIT_TEST(instanceWithoutServersPassesRequests);
@@ -100,36 +118,22 @@
     void instanceWithoutServersPassesRequests()
     {
         CallerAndGateway cut(options("e-0"));
-        CallerAndGateway peer(options("e-1"));
+        ServingInstance peer(options("e-1"));
         cut.setRoute(false, 1);
-        peer.setRoute(false, 1);
-        std::string seen;
-        HttpServer server(peer.context, {}, 10, [&](const auto& exchange) {
-            seen = exchange->request.body();
-            exchange->respond(makeResponse(boost::beast::http::status::ok, "text/plain", "from the server"));
-        });
-        CPPUNIT_ASSERT(server.listen("127.0.0.1:0"));
-        peer.setServers({ server.port() });
         detach(cut);
         cut.steering.setInstances({ { InstanceId("e-0"), RegionId("jadran"), true, true, {} },
             { InstanceId("e-1"), RegionId("jadran"), true, false, addressOf(peer) } });
         cut.send("/book", "two seats", "POST");
         CPPUNIT_ASSERT_MESSAGE(cut.received, receives(cut, { &peer }, "from the server"));
-        CPPUNIT_ASSERT_EQUAL(std::string("two seats"), seen);
+        CPPUNIT_ASSERT_EQUAL(std::string("two seats"), peer.seen);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, cut.steering.counters().passed);
     }
 
     void lostInstanceIsReplacedByAnother()
     {
         CallerAndGateway cut(options("e-0"));
-        CallerAndGateway peer(options("e-1"));
+        ServingInstance peer(options("e-1"));
         cut.setRoute(false, 1);
-        peer.setRoute(false, 1);
-        HttpServer server(peer.context, {}, 10, [&](const auto& exchange) {
-            exchange->respond(makeResponse(boost::beast::http::status::ok, "text/plain", "from the server"));
-        });
-        CPPUNIT_ASSERT(server.listen("127.0.0.1:0"));
-        peer.setServers({ server.port() });
         detach(cut);
         const auto gone = "127.0.0.1:" + std::to_string(closedPorts(1).front());
         cut.steering.setInstances({ { InstanceId("e-0"), RegionId("jadran"), true, true, {} },
@@ -148,19 +152,14 @@
         CallerAndGateway cut(options("e-0"));
         CallerAndGateway cutToo(options("e-1"));
         CallerAndGateway leaving(options("e-2"));
-        CallerAndGateway peer(options("e-3"));
-        for (auto* it : { &cut, &cutToo, &leaving, &peer })
+        ServingInstance peer(options("e-3"));
+        for (auto* it : { &cut, &cutToo, &leaving })
             it->setRoute(false, 1);
-        HttpServer server(peer.context, {}, 10, [&](const auto& exchange) {
-            exchange->respond(makeResponse(boost::beast::http::status::ok, "text/plain", "from the server"));
-        });
-        CPPUNIT_ASSERT(server.listen("127.0.0.1:0"));
-        peer.setServers({ server.port() });
         leaving.gateway.rejectNewRequests();
         detach(cut);
         detach(cutToo);
         std::vector<EntryInstance> instances { { InstanceId("e-0"), RegionId("jadran"), true, true, {} } };
-        for (auto* it : { &cutToo, &leaving, &peer })
+        for (auto* it : std::initializer_list<CallerAndGateway*> { &cutToo, &leaving, &peer })
             instances.push_back({ InstanceId("e-" + std::to_string(instances.size())), RegionId("jadran"), true, false,
                 addressOf(*it) });
         cut.steering.setInstances(instances);
@@ -180,14 +179,8 @@
         connections.attemptTimeout = std::chrono::milliseconds { 50 };
         connections.connection.connectTimeout = std::chrono::seconds { 5 };
         CallerAndGateway cut(settings, connections);
-        CallerAndGateway peer(options("e-1"));
+        ServingInstance peer(options("e-1"));
         cut.setRoute(false, 1);
-        peer.setRoute(false, 1);
-        HttpServer server(peer.context, {}, 10, [&](const auto& exchange) {
-            exchange->respond(makeResponse(boost::beast::http::status::ok, "text/plain", "from the server"));
-        });
-        CPPUNIT_ASSERT(server.listen("127.0.0.1:0"));
-        peer.setServers({ server.port() });
         SilentListener listeners[] = { SilentListener(cut.context), SilentListener(cut.context) };
         cut.setServers({ listeners[0].port(), listeners[1].port() });
         cut.steering.setInstances({ { InstanceId("e-0"), RegionId("jadran"), true, false, {} },
