--- a/libs/steering/tests/LimitedFleet.h
+++ b/libs/steering/tests/LimitedFleet.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -54,10 +55,41 @@
         connectInstances();
     }
 
+    /** The instance ends. The others find out one by one, within @p longest, and likewise that it is back. */
+    void stop(std::size_t instance, Duration longest)
+    {
+        ++m_instances[instance].starts;
+        m_instances[instance].isRunning = false;
+        tellOthers(instance, false, longest);
+    }
+    void startAgain(std::size_t instance, Duration longest)
+    {
+        start(instance);
+        m_instances[instance].isRunning = true;
+        tellOthers(instance, true, longest);
+        // It knows the others, as far as they run.
+        auto& live = m_instances[instance].live;
+        live.clear();
+        for (std::size_t i = 0; i < m_instances.size(); ++i) {
+            if (m_instances[i].isRunning)
+                live.insert(i);
+        }
+        connectInstance(instance);
+    }
+
     void run(Duration time)
     {
         const auto end = m_now + time;
         for (; m_now < end; m_now += s_step) {
+            while (!m_news.empty() && m_news.begin()->first <= m_now) {
+                const auto news = m_news.extract(m_news.begin()).mapped();
+                auto& live = m_instances[news.to].live;
+                if (news.isRunning)
+                    live.insert(news.about);
+                else
+                    live.erase(news.about);
+                connectInstance(news.to);
+            }
             if (m_now >= m_nextExchange)
                 exchangeLimits();
             for (; m_nextRequest <= m_now; m_nextRequest += fromSeconds(m_requestGap(m_random)))
@@ -66,8 +98,10 @@
                 const auto run = m_runs.extract(m_runs.begin()).mapped();
                 finish(run);
             }
-            for (std::size_t i = 0; i < m_instances.size(); ++i)
-                perform(i, m_instances[i].steering->tick(m_now));
+            for (std::size_t i = 0; i < m_instances.size(); ++i) {
+                if (m_instances[i].isRunning)
+                    perform(i, m_instances[i].steering->tick(m_now));
+            }
         }
     }
 
@@ -116,6 +150,8 @@
         InstanceId id;
         RegionId region;
         unsigned starts = 0;
+        bool isRunning = true;
+        std::set<std::size_t> live {}; // Instances that it takes for running.
         std::unique_ptr<TrafficSteering> steering;
         std::map<BackendServerId, TimePoint> told; // When it passed on the first response with a limit.
     };
@@ -127,6 +163,12 @@
         BackendServerId server;
     };
 
+    struct News {
+        std::size_t to = 0;
+        std::size_t about = 0;
+        bool isRunning = false;
+    };
+
     struct Arrival {
         TimePoint at;
         double limit = 0;
@@ -160,12 +202,31 @@
     }
 
     void connectInstances()
+    {
+        for (std::size_t i = 0; i < m_instances.size(); ++i) {
+            for (std::size_t j = 0; j < m_instances.size(); ++j)
+                m_instances[i].live.insert(j);
+            connectInstance(i);
+        }
+    }
+
+    void connectInstance(std::size_t index)
     {
         std::vector<EntryInstance> all;
-        for (const auto& instance : m_instances)
-            all.push_back({ instance.id, instance.region });
-        for (auto& instance : m_instances)
-            instance.steering->setInstances(all);
+        for (std::size_t i = 0; i < m_instances.size(); ++i) {
+            const auto& instance = m_instances[i];
+            all.push_back({ instance.id, instance.region, m_instances[index].live.contains(i) });
+        }
+        m_instances[index].steering->setInstances(std::move(all));
+    }
+
+    void tellOthers(std::size_t about, bool isRunning, Duration longest)
+    {
+        for (std::size_t to = 0; to < m_instances.size(); ++to) {
+            const auto delay = m_random() % static_cast<std::uint64_t>(longest.count());
+            if (to != about)
+                m_news.emplace(m_now + Duration { static_cast<Duration::rep>(delay) }, News { to, about, isRunning });
+        }
     }
 
     /** Each instance gets the statements of the others about as late as heartbeats bring them. */
@@ -187,6 +248,8 @@
     void beginRequest()
     {
         const auto index = m_random() % m_instances.size();
+        if (!m_instances[index].isRunning)
+            return;
         CallerRequest request;
         request.id = "r";
         request.host = "a";
@@ -242,6 +305,7 @@
     std::vector<ListedServer> m_servers;
     std::map<BackendServerId, double> m_limits;
     std::vector<Instance> m_instances;
+    std::multimap<TimePoint, News> m_news; // On their way.
     std::multimap<TimePoint, Run> m_runs; // By the time of their end.
     std::map<BackendServerId, std::vector<Arrival>> m_arrivals;
     RequestHandle m_lastRequest = 0;
--- a/libs/steering/tests/ServerLimitTest.cpp
+++ b/libs/steering/tests/ServerLimitTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(allInstancesTogetherStayWithinALimit);
     CPPUNIT_TEST(manyInstancesStayWithinASmallLimit);
     CPPUNIT_TEST(changesAndRestartsKeepTheSumWithinTheLimit);
+    CPPUNIT_TEST(instancesThatDifferAboutWhoLivesStayWithinALimit);
     CPPUNIT_TEST(limitsAreUsedAndTheRestIsRejectedAtOnce);
     CPPUNIT_TEST(endOfALimitIsNoticed);
     CPPUNIT_TEST(queuedRequestsObeyALimitThatTheyDidNotKnow);
@@ -84,6 +85,35 @@
         }
     }
 
+    /** While instances restart one after the other, the rest divide a limit among different instances. */
+    void instancesThatDifferAboutWhoLivesStayWithinALimit()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            LimitedFleet fleet(11, 18, 250, seed);
+            fleet.run(4s);
+            const double limits[] = { 7.5, 2.7, 0.4, 12 };
+            for (std::size_t i = 0; i < 4; ++i)
+                fleet.setLimit(i, limits[i]);
+            const auto named = fleet.now();
+            fleet.run(stableWindow);
+            for (std::size_t i = 0; i < 11; ++i) {
+                fleet.stop(i, 3s);
+                fleet.run(1s);
+                fleet.startAgain(i, 3s);
+                fleet.run(300ms);
+            }
+            // Several that end at once, as with their failure domain.
+            for (std::size_t i = 0; i < 6; ++i)
+                fleet.stop(i, 3s);
+            fleet.run(4s);
+            for (std::size_t i = 0; i < 6; ++i)
+                fleet.startAgain(i, 3s);
+            fleet.run(4s);
+            for (std::size_t i = 0; i < 4; ++i)
+                assertWithin(fleet, i, named + stableWindow, seed);
+        }
+    }
+
     /** What the limits leave must be served, and what they don't must not wait for its deadline. */
     void limitsAreUsedAndTheRestIsRejectedAtOnce()
     {
