--- a/libs/entry/include/entry/CallerProtocol.h
+++ b/libs/entry/include/entry/CallerProtocol.h
@@ -14,11 +14,10 @@
 
 namespace peridot {
 
-/** Result of a send, load and limit of the backend server, as its response states them. */
+/** Result of a send, and what the backend server states about itself, as its response has them. */
 struct ServerResponseInfo {
     DispatchResult result = DispatchResult::Succeeded;
-    std::optional<ServerLoad> load; // Empty if the response states no valid load.
-    std::optional<double> requestLimit {}; // As in SendReport.
+    ServerStatement statement {};
 };
 
 class CallerProtocol {
@@ -41,7 +40,7 @@
     /** Decides whether a response that was read from the connection belongs to the request with this id. On a reused
      *  connection, a late copy of an earlier response may arrive first. */
     virtual ResponseVerdict check(const HttpResponse&, const std::string& requestId, bool isConnectionReused) const = 0;
-    /** Derives the result of a send, and the server's load and limit, from an accepted response. */
+    /** Derives the result of a send, and what the server states about itself, from an accepted response. */
     virtual ServerResponseInfo inspectResponse(const HttpResponse&) const = 0;
     /** Converts the server's response to the response for the caller. */
     virtual HttpResponse responseToCaller(HttpResponse) const = 0;
--- a/libs/entry/include/entry/InstanceGroup.h
+++ b/libs/entry/include/entry/InstanceGroup.h
@@ -52,10 +52,10 @@
     void setDemands(const std::map<WorkspaceId, double>&);
     /** Sets the load of the backend servers in this instance's region, by service, as this instance measures it. */
     void setLoads(std::vector<ServiceLoad> loads) { m_membership.setLoads(std::move(loads)); }
-    /** Sets what backend servers have stated to this instance on their limits. */
-    void setServerLimits(std::vector<ServerLimitReport>);
-    /** Returns what backend servers have stated to the instances on their limits. */
-    std::vector<ServerLimitReport> serverLimits() const;
+    /** Sets what backend servers have stated to this instance on their serverReports. */
+    void setServerReports(std::vector<ServerReport>);
+    /** Returns what backend servers have stated to the instances on their serverReports. */
+    std::vector<ServerReport> serverReports() const;
     /** Returns the slots that callers' requests would fill if all were served, by service and by the region of the
      *  entry instance that receives the requests. */
     std::map<ServiceId, std::map<RegionId, double>> offeredLoads() const;
--- a/libs/entry/src/InstanceGroup.cpp
+++ b/libs/entry/src/InstanceGroup.cpp
@@ -223,18 +223,18 @@
     return result;
 }
 
-void InstanceGroup::setServerLimits(std::vector<ServerLimitReport> limits)
+void InstanceGroup::setServerReports(std::vector<ServerReport> serverReports)
 {
-    m_membership.setLimits(std::move(limits), steadyNow());
+    m_membership.setServerReports(std::move(serverReports), steadyNow());
 }
 
-std::vector<ServerLimitReport> InstanceGroup::serverLimits() const
+std::vector<ServerReport> InstanceGroup::serverReports() const
 {
     const auto now = steadyNow();
-    std::vector<ServerLimitReport> result;
+    std::vector<ServerReport> result;
     for (const auto& region : regions()) {
-        for (auto& limit : m_membership.view().limits(region, now))
-            result.push_back(std::move(limit));
+        for (auto& report : m_membership.view().serverReports(region, now))
+            result.push_back(std::move(report));
     }
     return result;
 }
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -215,8 +215,7 @@
         if (info.result == DispatchResult::Succeeded || info.result == DispatchResult::ServerError)
             *it->second.hasResponse = true;
         sendReport.result = info.result;
-        sendReport.load = info.load;
-        sendReport.requestLimit = info.requestLimit;
+        sendReport.statement = info.statement;
         sendReport.responseBytes = result->body().size();
         if (info.result != DispatchResult::Succeeded)
             sendReport.detail = "status " + std::to_string(result->result_int());
--- a/libs/membership/include/membership/LiveView.h
+++ b/libs/membership/include/membership/LiveView.h
@@ -26,8 +26,8 @@
         ConfigurationVersion lowestVersion = 0;
         std::vector<ServiceLoad> loads;
         std::vector<WorkspaceDemand> demands;
-        std::vector<ServerLimitReport> limits;
-        std::optional<TimePoint> reportTime; // Of lowestVersion, loads, demands and limits.
+        std::vector<ServerReport> serverReports;
+        std::optional<TimePoint> reportTime; // Of lowestVersion, loads, demands and server reports.
         // False while members come from the platform's list only.
         bool isConfirmed = false;
     };
@@ -44,11 +44,11 @@
     /** Names a domain before any of its members is known. */
     void addDomain(const FailureDomainId&, const RegionId&);
     void setReport(const FailureDomainId&, ConfigurationVersion lowest, std::vector<ServiceLoad> loads, TimePoint asOf,
-        std::vector<WorkspaceDemand> demands = {}, std::vector<ServerLimitReport> limits = {});
+        std::vector<WorkspaceDemand> demands = {}, std::vector<ServerReport> serverReports = {});
 
     /** Takes the sums over a region's domains, as relays tell them to members. */
     void setRegionLoads(const RegionId&, std::vector<ServiceLoad> loads, std::vector<WorkspaceDemand> demands,
-        std::vector<ServerLimitReport> limits, TimePoint asOf);
+        std::vector<ServerReport> serverReports, TimePoint asOf);
 
     /** Takes what a relay said. The list may still differ afterwards; then the next request names what is known. */
     void apply(const DomainSummary&, TimePoint now);
@@ -70,9 +70,9 @@
     std::vector<ServiceLoad> loads(const RegionId&) const;
     /** Demand on the live domains of a region, summed by workspace, from the same source as loads(). */
     std::vector<WorkspaceDemand> demands(const RegionId&) const;
-    /** Newest statement of each server to the live domains of a region, from the same source as loads(). Its age is the
+    /** Newest report on each server from the live domains of a region, from the same source as loads(). Its age is the
      *  one at @p asOf. */
-    std::vector<ServerLimitReport> limits(const RegionId&, TimePoint asOf) const;
+    std::vector<ServerReport> serverReports(const RegionId&, TimePoint asOf) const;
     /** Lowest version in force over the live domains that report one; 0 if one of them reports none. */
     ConfigurationVersion lowestVersion() const noexcept;
 
@@ -97,7 +97,7 @@
     struct RegionLoads {
         std::vector<ServiceLoad> loads;
         std::vector<WorkspaceDemand> demands;
-        std::vector<ServerLimitReport> limits;
+        std::vector<ServerReport> serverReports;
         TimePoint asOf;
     };
 
--- a/libs/membership/include/membership/MemberAgent.h
+++ b/libs/membership/include/membership/MemberAgent.h
@@ -42,10 +42,10 @@
     void setLedgerEpoch(std::uint64_t epoch) noexcept { m_self.ledgerEpoch = epoch; }
     void setLoads(std::vector<ServiceLoad> loads) { m_loads = std::move(loads); }
     void setDemands(std::vector<WorkspaceDemand> demands) { m_demands = std::move(demands); }
-    void setLimits(std::vector<ServerLimitReport> limits, TimePoint now)
+    void setServerReports(std::vector<ServerReport> serverReports, TimePoint now)
     {
-        m_limits = std::move(limits);
-        m_limitsSetAt = now;
+        m_serverReports = std::move(serverReports);
+        m_reportsSetAt = now;
     }
     void setVersionInForce(ConfigurationVersion version) noexcept { m_inForce = version; }
     void heard(ConfigurationVersion version) noexcept { m_highest = std::max(m_highest, version); }
@@ -93,8 +93,8 @@
     std::vector<InstanceId> m_current; // The relays of the last heartbeats; the first one is asked for the view.
     std::vector<ServiceLoad> m_loads;
     std::vector<WorkspaceDemand> m_demands;
-    std::vector<ServerLimitReport> m_limits; // Ages are those at m_limitsSetAt.
-    TimePoint m_limitsSetAt;
+    std::vector<ServerReport> m_serverReports; // Ages are those at m_reportsSetAt.
+    TimePoint m_reportsSetAt;
     ConfigurationVersion m_inForce = 0;
     ConfigurationVersion m_highest = 0; // Never below m_inForce.
     ConfigurationVersion m_lowest = 0;
--- a/libs/membership/include/membership/Membership.h
+++ b/libs/membership/include/membership/Membership.h
@@ -56,7 +56,10 @@
     void setLedgerEpoch(std::uint64_t epoch) noexcept { m_member.setLedgerEpoch(epoch); }
     void setLoads(std::vector<ServiceLoad> loads) { m_member.setLoads(std::move(loads)); }
     void setDemands(std::vector<WorkspaceDemand> demands) { m_member.setDemands(std::move(demands)); }
-    void setLimits(std::vector<ServerLimitReport> limits, TimePoint now) { m_member.setLimits(std::move(limits), now); }
+    void setServerReports(std::vector<ServerReport> serverReports, TimePoint now)
+    {
+        m_member.setServerReports(std::move(serverReports), now);
+    }
 
     const LiveView& view() const noexcept { return m_view; }
     const Evidence& evidence() const noexcept { return m_evidence; }
--- a/libs/membership/include/membership/Messages.h
+++ b/libs/membership/include/membership/Messages.h
@@ -86,14 +86,15 @@
     bool operator==(const WorkspaceDemand&) const = default;
 };
 
-/** What a backend server has stated on the requests that it takes from all instances together. */
-struct ServerLimitReport {
+/** What a backend server has stated to an instance that concerns all of them. */
+struct ServerReport {
     BackendServerId server;
     std::int64_t incarnation = 0; // Of the server.
-    double requestsPerSecond = 0; // Infinite if a limit has ended.
+    double requestsPerSecond = 0; // That it takes from all instances together. Infinite if it names no limit.
     Duration age { 0 }; // Of the statement, when the message or the summary that carries it was made.
+    bool isLeaving = false; // It takes no new requests.
 
-    bool operator==(const ServerLimitReport&) const = default;
+    bool operator==(const ServerReport&) const = default;
 };
 
 enum class EvidenceKind {
@@ -127,8 +128,8 @@
     StoreAttestation store;
     std::vector<ServiceLoad> loads;
     std::vector<WorkspaceDemand> demands;
-    std::vector<ServerLimitReport> limits;
-    Duration age { 0 }; // Of the lowest version, loads, demands and limits.
+    std::vector<ServerReport> serverReports;
+    Duration age { 0 }; // Of the lowest version, loads, demands and server reports.
 };
 
 struct Heartbeat {
@@ -146,7 +147,7 @@
     std::vector<KnownView> known; // Only if the last reply showed another view hash.
     std::vector<ServiceLoad> loads;
     std::vector<WorkspaceDemand> demands;
-    std::vector<ServerLimitReport> limits; // That the servers stated to the sender.
+    std::vector<ServerReport> serverReports; // That the servers stated to the sender.
 };
 
 struct HeartbeatReply {
@@ -159,7 +160,7 @@
     bool isReachabilityWitnessed = false; // Another domain has just confirmed to know that this one reaches the store.
     std::uint64_t viewHash = 0;
     // Only domains that changed since the versions in the heartbeat. In some replies, one domain of each region carries
-    // loads, demands and limits; in these summaries they are those of the whole region.
+    // loads, demands and server reports; in these summaries they are those of the whole region.
     std::vector<DomainSummary> domains;
 };
 
--- a/libs/membership/include/membership/RelayAgent.h
+++ b/libs/membership/include/membership/RelayAgent.h
@@ -56,7 +56,7 @@
         ConfigurationVersion version = 0; // In force.
         std::vector<ServiceLoad> loads;
         std::vector<WorkspaceDemand> demands;
-        std::vector<ServerLimitReport> limits; // Ages are those at lastHeard.
+        std::vector<ServerReport> serverReports; // Ages are those at lastHeard.
         std::uint64_t viewReplies = 0; // Counts towards MembershipSettings::loadsEvery.
     };
 
--- a/libs/membership/src/LiveView.cpp
+++ b/libs/membership/src/LiveView.cpp
@@ -122,7 +122,7 @@
 }
 
 void LiveView::setReport(const FailureDomainId& id, ConfigurationVersion lowest, std::vector<ServiceLoad> loads,
-    TimePoint asOf, std::vector<WorkspaceDemand> demands, std::vector<ServerLimitReport> limits)
+    TimePoint asOf, std::vector<WorkspaceDemand> demands, std::vector<ServerReport> serverReports)
 {
     const auto it = m_domains.find(id);
     if (it == m_domains.end())
@@ -130,15 +130,15 @@
     it->second.lowestVersion = lowest;
     it->second.loads = std::move(loads);
     it->second.demands = std::move(demands);
-    it->second.limits = std::move(limits);
+    it->second.serverReports = std::move(serverReports);
     it->second.reportTime = asOf;
 }
 
 void LiveView::setRegionLoads(const RegionId& region, std::vector<ServiceLoad> loads,
-    std::vector<WorkspaceDemand> demands, std::vector<ServerLimitReport> limits, TimePoint asOf)
+    std::vector<WorkspaceDemand> demands, std::vector<ServerReport> serverReports, TimePoint asOf)
 {
     m_regionLoads.insert_or_assign(
-        region, RegionLoads { std::move(loads), std::move(demands), std::move(limits), asOf });
+        region, RegionLoads { std::move(loads), std::move(demands), std::move(serverReports), asOf });
 }
 
 void LiveView::apply(const DomainSummary& summary, TimePoint now)
@@ -162,8 +162,9 @@
     for (const auto& member : summary.removed)
         erase(id, target, member);
     setSilent(id, summary.version.isSilent, now);
-    if (summary.lowestVersion != 0 || !summary.loads.empty() || !summary.demands.empty() || !summary.limits.empty())
-        setReport(id, summary.lowestVersion, summary.loads, now - summary.age, summary.demands, summary.limits);
+    if (summary.lowestVersion != 0 || !summary.loads.empty() || !summary.demands.empty()
+        || !summary.serverReports.empty())
+        setReport(id, summary.lowestVersion, summary.loads, now - summary.age, summary.demands, summary.serverReports);
 }
 
 void LiveView::applyPlatformList(
@@ -271,29 +272,29 @@
     return told != m_regionLoads.end() && told->second.asOf >= newest ? &told->second : nullptr;
 }
 
-std::vector<ServerLimitReport> LiveView::limits(const RegionId& region, TimePoint asOf) const
+std::vector<ServerReport> LiveView::serverReports(const RegionId& region, TimePoint asOf) const
 {
-    std::map<BackendServerId, ServerLimitReport> newest;
-    const auto add = [&](std::vector<ServerLimitReport> limits, TimePoint reportTime) {
-        for (auto& limit : limits) {
-            limit.age = std::max(limit.age + (asOf - reportTime), Duration { 0 });
-            const auto [it, isNew] = newest.try_emplace(limit.server, limit);
-            if (!isNew && limit.age < it->second.age)
-                it->second = limit;
+    std::map<BackendServerId, ServerReport> newest;
+    const auto add = [&](std::vector<ServerReport> serverReports, TimePoint reportTime) {
+        for (auto& report : serverReports) {
+            report.age = std::max(report.age + (asOf - reportTime), Duration { 0 });
+            const auto [it, isNew] = newest.try_emplace(report.server, report);
+            if (!isNew && report.age < it->second.age)
+                it->second = report;
         }
     };
     if (const auto* told = toldLoads(region)) {
-        add(told->limits, told->asOf);
+        add(told->serverReports, told->asOf);
     } else {
         for (const auto* domain : liveDomains(region)) {
             if (domain->reportTime)
-                add(domain->limits, *domain->reportTime);
+                add(domain->serverReports, *domain->reportTime);
         }
     }
-    std::vector<ServerLimitReport> result;
+    std::vector<ServerReport> result;
     result.reserve(newest.size());
-    for (auto& [server, limit] : newest)
-        result.push_back(std::move(limit));
+    for (auto& [server, report] : newest)
+        result.push_back(std::move(report));
     return result;
 }
 
@@ -370,7 +371,7 @@
         summary.lowestVersion = domain->lowestVersion;
         summary.loads = domain->loads;
         summary.demands = domain->demands;
-        summary.limits = domain->limits;
+        summary.serverReports = domain->serverReports;
         summary.age = domain->reportTime ? now - *domain->reportTime : Duration { 0 };
     }
     return summary;
--- a/libs/membership/src/MemberAgent.cpp
+++ b/libs/membership/src/MemberAgent.cpp
@@ -99,9 +99,9 @@
     }
     message.loads = m_loads;
     message.demands = m_demands;
-    message.limits = m_limits;
-    for (auto& limit : message.limits)
-        limit.age += now - m_limitsSetAt;
+    message.serverReports = m_serverReports;
+    for (auto& report : message.serverReports)
+        report.age += now - m_reportsSetAt;
     relay.open.emplace(message.sequence, Sent { now, message.store.isReachable });
     if (!relay.unansweredSince)
         relay.unansweredSince = now;
@@ -169,13 +169,13 @@
 void MemberAgent::takeView(Relay& relay, const HeartbeatReply& reply, TimePoint now)
 {
     for (auto summary : reply.domains) {
-        if (!summary.loads.empty() || !summary.demands.empty() || !summary.limits.empty()) {
+        if (!summary.loads.empty() || !summary.demands.empty() || !summary.serverReports.empty()) {
             m_view.setRegionLoads(summary.region, std::move(summary.loads), std::move(summary.demands),
-                std::move(summary.limits), now - summary.age);
+                std::move(summary.serverReports), now - summary.age);
         }
         summary.loads.clear();
         summary.demands.clear();
-        summary.limits.clear();
+        summary.serverReports.clear();
         m_view.apply(summary, now);
     }
     relay.namesKnown = m_view.hash() != reply.viewHash;
--- a/libs/membership/src/RelayAgent.cpp
+++ b/libs/membership/src/RelayAgent.cpp
@@ -145,7 +145,7 @@
     std::optional<ConfigurationVersion> lowest;
     std::map<ServiceId, ServiceLoad> sums;
     std::map<WorkspaceId, double> demandSums;
-    std::map<BackendServerId, ServerLimitReport> newestLimits;
+    std::map<BackendServerId, ServerReport> newestReports;
     for (const auto& [member, info] : m_view.findDomain(id)->members) {
         const auto it = m_members.find(member);
         const auto version = it == m_members.end() ? 0 : it->second.version;
@@ -162,17 +162,17 @@
         }
         for (const auto& demand : it->second.demands)
             demandSums[demand.workspace] += demand.requestsPerSecond;
-        for (auto limit : it->second.limits) {
-            limit.age += now - it->second.lastHeard;
-            const auto [known, isNew] = newestLimits.try_emplace(limit.server, limit);
-            if (!isNew && limit.age < known->second.age)
-                known->second = limit;
+        for (auto report : it->second.serverReports) {
+            report.age += now - it->second.lastHeard;
+            const auto [known, isNew] = newestReports.try_emplace(report.server, report);
+            if (!isNew && report.age < known->second.age)
+                known->second = report;
         }
     }
-    std::vector<ServerLimitReport> limits;
-    limits.reserve(newestLimits.size());
-    for (auto& [server, limit] : newestLimits)
-        limits.push_back(std::move(limit));
+    std::vector<ServerReport> serverReports;
+    serverReports.reserve(newestReports.size());
+    for (auto& [server, report] : newestReports)
+        serverReports.push_back(std::move(report));
     std::vector<WorkspaceDemand> demands;
     demands.reserve(demandSums.size());
     for (const auto& [workspace, sum] : demandSums)
@@ -181,7 +181,7 @@
     loads.reserve(sums.size());
     for (auto& [service, sum] : sums)
         loads.push_back(std::move(sum));
-    m_view.setReport(id, lowest.value_or(0), std::move(loads), now, std::move(demands), std::move(limits));
+    m_view.setReport(id, lowest.value_or(0), std::move(loads), now, std::move(demands), std::move(serverReports));
 }
 
 void RelayAgent::pullAll(const SilentRelays& silent, TimePoint now, std::vector<Send>& sends)
@@ -330,7 +330,7 @@
     member.version = message.configurationVersion;
     member.loads = message.loads;
     member.demands = message.demands;
-    member.limits = message.limits;
+    member.serverReports = message.serverReports;
     member.asOf.reset();
     const TimePoint tokenTime { Duration { static_cast<Duration::rep>(message.replyToken) } };
     if (message.replyToken != 0 && tokenTime >= *m_started && tokenTime <= now) {
@@ -390,7 +390,7 @@
         auto& summary = summaries.try_emplace(id, report).first->second;
         summary.loads = m_view.loads(domain.region);
         summary.demands = m_view.demands(domain.region);
-        summary.limits = m_view.limits(domain.region, now - report.age);
+        summary.serverReports = m_view.serverReports(domain.region, now - report.age);
         summary.age = report.age;
     }
 }
@@ -427,7 +427,7 @@
     summary.lowestVersion = report.lowestVersion;
     summary.loads = report.loads;
     summary.demands = report.demands;
-    summary.limits = report.limits;
+    summary.serverReports = report.serverReports;
     summary.age = report.age;
     const auto attestation = isFellow ? ownAttestation() : domainAttestation();
     summary.store = attestation ? StoreAttestation { attestation->isReachable, now - attestation->asOf }
--- a/libs/membership/tests/FleetTest.cpp
+++ b/libs/membership/tests/FleetTest.cpp
@@ -67,17 +67,17 @@
         const BackendServerId server("i-1");
         const auto tell = [&](std::size_t index, double limit, Duration age) {
             const auto& instance = fleet.instance(index);
-            instance.membership->setLimits({ { server, 7, limit, age } }, fleet.localTime(instance));
+            instance.membership->setServerReports({ { server, 7, limit, age } }, fleet.localTime(instance));
         };
         tell(0, 2.7, 100ms);
         tell(fleet.size() - 1, 50, 900ms); // Older.
         const auto said = fleet.now();
         fleet.run(2s);
         for (const auto i : fleet.live()) {
-            std::vector<ServerLimitReport> known;
+            std::vector<ServerReport> known;
             const auto& instance = fleet.instance(i);
             for (const auto& region : fleet.regions()) {
-                for (const auto& it : instance.membership->view().limits(region, fleet.localTime(instance)))
+                for (const auto& it : instance.membership->view().serverReports(region, fleet.localTime(instance)))
                     known.push_back(it);
             }
             const auto newest = std::min_element(
--- a/libs/steering/include/steering/ServerLimit.h
+++ b/libs/steering/include/steering/ServerLimit.h
@@ -2,27 +2,14 @@
 
 #pragma once
 
-#include "base/Ids.h"
 #include "base/Time.h"
+#include "steering/ServerStatement.h"
 
 #include <algorithm>
 #include <cstddef>
-#include <cstdint>
-#include <limits>
 
 namespace peridot {
 
-/** Rate of a server that names no limit. */
-constexpr double unlimitedRate = std::numeric_limits<double>::infinity();
-
-/** A server's statement on its limit, as instances exchange it. */
-struct ServerLimitStatement {
-    BackendServerId server;
-    std::int64_t incarnation = 0; // As in ListedServer. The statement doesn't hold for another start of the server.
-    double perSecond = unlimitedRate;
-    Duration age { 0 };
-};
-
 /** Requests per second that one start of a server takes from all instances together, as it has last stated. */
 class ServerLimit {
 public:
@@ -35,9 +22,9 @@
     }
 
     /** Records a statement that another instance has received. Returns whether the limit has changed. */
-    bool learn(const ServerLimitStatement& statement, TimePoint now)
+    bool learn(const ServerNotice& notice, TimePoint now)
     {
-        return record(statement.perSecond, now - statement.age, false);
+        return record(notice.requestsPerSecond, now - notice.age, false);
     }
 
     bool isSet() const noexcept { return m_perSecond < unlimitedRate; }
--- a/libs/steering/include/steering/ServicePool.h
+++ b/libs/steering/include/steering/ServicePool.h
@@ -8,6 +8,7 @@
 #include "steering/ListedServer.h"
 #include "steering/RateDivision.h"
 #include "steering/ServerLimit.h"
+#include "steering/ServerStatement.h"
 
 #include <array>
 #include <cstdint>
@@ -23,13 +24,6 @@
 
 namespace peridot {
 
-/** Load that a server reports in a response. It counts the requests of all callers of the server. */
-struct ServerLoad {
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0; // Requests that wait at the server for a slot.
-    std::uint32_t slots = 0;
-};
-
 enum class DispatchResult {
     Succeeded,
     ServerError, // A complete failure response; the request counts as run.
@@ -115,6 +109,8 @@
     // prefers the emptier of two equal servers.
     Duration expected { 0 };
     double occupancy = 0; // Requests per slot at the server before this request.
+    // Time until the server wants requests of this instance again. 0 if it wants them now.
+    Duration pausedFor { 0 };
     // Position of the server within its region in the object's order, starting at 0.
     std::size_t orderIndex = 0;
 };
@@ -128,6 +124,24 @@
     double slack = 5;
 };
 
+/** Which parts of a server's statements have changed with a response or a notice. */
+struct StatementChange {
+    bool limit = false;
+    bool leaving = false;
+    bool pause = false;
+    bool unreadable = false; // For the first time since the start of the server.
+
+    /** Whether the server takes less from this instance than before, also of what is on its way. */
+    bool hasClosed() const noexcept { return leaving || pause; }
+};
+
+/** Servers that take fewer requests, or none, because they said so. */
+struct StatedServers {
+    std::size_t limited = 0;
+    std::size_t leaving = 0;
+    std::size_t paused = 0;
+};
+
 /** Demand for a service, measured in the slots that its requests would fill if warm servers served all of them. */
 struct OfferedLoad {
     std::map<RegionId, double> byRegion {}; // By the region of the callers.
@@ -165,13 +179,12 @@
         const std::optional<ServerLoad>&, TimePoint now);
     /** Sets the room that the bound on limited servers leaves, see LimitBound. */
     void setLimitBound(const LimitBound& bound) { m_limitBound = bound; }
-    /** Records the limit that a response of the server states, see ServerLimit::state(). Returns whether the limit has
-     *  changed. */
-    bool limitStated(const BackendServerId&, double perSecond, TimePoint sent, TimePoint now);
-    /** Records what a server stated to another instance. Returns whether the limit has changed. */
-    bool learnLimit(const ServerLimitStatement&, TimePoint now);
-    /** Statements on limits that the other instances have to be told. */
-    std::vector<ServerLimitStatement> limitStatements(TimePoint now) const;
+    /** Records what a response of the server states whose request was sent at @p sent. */
+    StatementChange stated(const BackendServerId&, const ServerStatement&, TimePoint sent, TimePoint now);
+    /** Records what a server stated to another instance. */
+    StatementChange learn(const ServerNotice&, TimePoint now);
+    /** What the other instances have to be told of statements to this one. */
+    std::vector<ServerNotice> notices(TimePoint now) const;
     /** Records whether a request that was sent for @p reason found the object warm. */
     void observeWarm(WarmReason reason, bool wasWarm) noexcept;
     /** Records the round trip measured when a new connection to a server was set up. */
@@ -183,8 +196,8 @@
     void tick(TimePoint now, bool hasUnservedRequests);
 
     const ListedServer* find(const BackendServerId&) const;
-    std::size_t limitedServers() const noexcept;
-    // A limited server counts as no more slots than its limit keeps busy.
+    StatedServers statedServers() const noexcept;
+    // A limited server counts as no more slots than its limit keeps busy, a paused one as none.
     double slots() const noexcept; // Slots of the usable servers of all regions.
     double localSlots() const noexcept; // Slots of the usable servers of the own region.
     /** Requests per slot at the own region's usable servers that are not ejected, including queued requests. */
@@ -208,6 +221,31 @@
         }
     };
 
+    /** What one start of a server has stated on new requests. Remembered while the server isn't listed. */
+    struct Closure {
+        std::int64_t incarnation = 0;
+        bool isLeaving = false;
+        bool isToBeTold = false; // It stated to this instance that it leaves.
+        TimePoint statedAt {}; // Of the newest statement.
+        TimePoint pausedUntil {};
+        bool isReopening = false; // No request that was sent after the pause has had a response.
+    };
+
+    /** Which bound keeps a request from a server now. */
+    enum class ServerBound {
+        None,
+        Unusable, // Not listed, leaving, evacuated, or another server has its address.
+        Paused,
+        Ejected,
+        Cold,
+        Limited,
+    };
+    /** When the server may get the next request of this instance. */
+    struct NextSend {
+        ServerBound bound = ServerBound::None;
+        std::optional<Duration> wait { Duration { 0 } }; // Empty if it is not known.
+    };
+
     struct Server {
         Server(ListedServer description, TimePoint now)
             : info(std::move(description))
@@ -235,6 +273,9 @@
         RatePart coldPart; // Used while the server is cold.
         ServerLimit limit;
         RatePart limitPart; // Used while the server names a limit.
+        Closure closure;
+        bool isPaused = false; // As of the last tick or statement.
+        bool hasStatedUnreadable = false;
         // Objects of the requests sent to the server, with the time of the last request.
         std::map<std::uint64_t, TimePoint> warmObjects;
         std::multiset<TimePoint> startTimes; // Send times of the requests in flight.
@@ -248,6 +289,11 @@
     double estimatedOtherInstancesLoad(const Server&, TimePoint now) const;
     double slowness(const Server&, Duration expected, TimePoint now) const;
     bool hasColdToken(Server&, TimePoint now) const;
+    /** The one place that decides whether a server may get a request, whatever is known of it. */
+    NextSend nextSend(Server&, TimePoint now) const;
+    /** Keeps the closure of a server that is forgotten. */
+    void remember(const Server&, TimePoint now);
+    void restore(Server&);
     /** Time until the server's limit lets another request of this instance through, behind the queued ones that wait
      * for the server. Empty if this instance has no part of the limit. */
     std::optional<Duration> limitWait(Server&, TimePoint now) const;
@@ -269,13 +315,16 @@
     /** Offered load of all regions per usable slot. */
     double overallUse() const;
     /** Replaces @p best by the server if that can serve the request at a lower cost. @p isUnranked is true if the
-     *  request has an object, but the server was not taken from the object's order. */
-    void consider(Server&, std::size_t orderIndex, bool isUnranked, const PoolQuery&, TimePoint now, PoolChoice& best);
+     *  request has an object, but the server was not taken from the object's order. A paused server is left out unless
+     *  the request @p mayAwaitPause. */
+    void consider(Server&, std::size_t orderIndex, bool isUnranked, bool mayAwaitPause, const PoolQuery&, TimePoint now,
+        PoolChoice& best);
 
     const RegionId m_region;
     const ServicePoolOptions m_options;
     std::mt19937_64 m_random;
     std::map<BackendServerId, std::unique_ptr<Server>> m_servers; // Unlisted servers stay until their requests end.
+    std::map<BackendServerId, Closure> m_closures; // Of servers that are not in m_servers.
     std::set<FailureDomainId> m_evacuated;
     std::unordered_map<std::uint64_t, Order> m_orders; // By object; cleared when the usable servers change.
     std::map<RegionId, Duration> m_roundTrips;
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -16,6 +16,7 @@
 #include "steering/RouteTable.h"
 #include "steering/ServerLimit.h"
 #include "steering/ServerReach.h"
+#include "steering/ServerStatement.h"
 #include "steering/ServicePool.h"
 
 #include <tl/expected.hpp>
@@ -61,6 +62,7 @@
     ShiftLimited, // The request may run in other regions only, and their share of the requests may not grow faster.
     Expired, // The deadline or timeout passed while the request was not running at a server.
     NoServer, // No server may take the request.
+    Paused, // All servers that may take the request want nothing from this instance for longer than it can wait.
     Detached, // This instance reaches no server, and none takes the request to which it could be passed.
     EndsServers, // Several servers have ended while they ran this request.
     NotExecuted, // Servers refused the request before running it.
@@ -69,7 +71,7 @@
 };
 
 template <>
-inline constexpr EnumNameTable<RejectReason, 16> enumNames<RejectReason> { {
+inline constexpr EnumNameTable<RejectReason, 17> enumNames<RejectReason> { {
     { RejectReason::Starting, "starting" },
     { RejectReason::Unconfirmed, "unconfirmed" },
     { RejectReason::Leaving, "leaving" },
@@ -81,6 +83,7 @@
     { RejectReason::ShiftLimited, "shift_limited" },
     { RejectReason::Expired, "expired" },
     { RejectReason::NoServer, "no_server" },
+    { RejectReason::Paused, "paused" },
     { RejectReason::Detached, "detached" },
     { RejectReason::EndsServers, "ends_servers" },
     { RejectReason::NotExecuted, "not_executed" },
@@ -152,13 +155,10 @@
 
 struct SendReport {
     DispatchResult result = DispatchResult::Succeeded;
-    std::optional<ServerLoad> load;
+    ServerStatement statement {};
     std::optional<Duration> connectTime; // Set if a connection was opened for the send.
     std::string detail; // For the log.
     std::size_t responseBytes = 0; // Size of the response's body.
-    // Requests per second that the server takes from all instances together, unlimitedRate if it names no limit. Empty
-    // if the response does not tell.
-    std::optional<double> requestLimit {};
 };
 
 /** Bounds that apply to all instances together. They may change while requests run. */
@@ -261,10 +261,10 @@
     /** Requests that end servers. All instances exchange the reports. */
     CrashRegistry& crashes() noexcept { return m_crashes; }
     const CrashRegistry& crashes() const noexcept { return m_crashes; }
-    /** Statements of servers on their limits that the other instances have to be told. */
-    std::vector<ServerLimitStatement> limitStatements(TimePoint now) const;
+    /** What the other instances have to be told of the servers' statements to this one. */
+    std::vector<ServerNotice> serverNotices(TimePoint now) const;
     /** Applies statements that servers made to other instances. */
-    void learnLimits(const std::vector<ServerLimitStatement>&, TimePoint now);
+    void learn(const std::vector<ServerNotice>&, TimePoint now);
     /** Whether this instance reaches no server. It then passes requests on to other instances. */
     bool isDetached() const noexcept { return m_reach.isDetached(); }
     /** Records that a server has ended while a request ran there. The report counts once another server was reached,
@@ -287,8 +287,7 @@
 
     const std::shared_ptr<const RouteTable>& routes() const noexcept { return m_routes; }
     std::size_t openRequests() const noexcept { return m_requests.size(); }
-    /** Number of servers whose last response named a limit. */
-    std::size_t limitedServers() const noexcept;
+    StatedServers statedServers() const noexcept;
     const SteeringCounters& counters() const noexcept { return m_counters; }
 
 private:
@@ -350,9 +349,12 @@
     void reject(Request&, RejectReason, Duration retryAfter, TimePoint now, SteeringActions&);
     /** Rejects a request without a configuration, a matching route or a valid key. */
     void rejectUnrouted(RequestHandle, const CallerRequest&, RejectReason, Duration retryAfter, SteeringActions&);
-    void logLimit(const BackendServerId&, double perSecond, bool isFromPeer) const;
+    void logChange(const BackendServerId&, const StatementChange&, const ServerStatement&, bool isFromPeer) const;
     void observeReach(const BackendServerId&, const Request&, const SendReport&, TimePoint now);
-    void recordSendResult(Request&, const SendReport&, TimePoint now);
+    /** Returns whether the server has stated that it takes no more requests, or none for a while. */
+    bool recordSendResult(Request&, const SendReport&, TimePoint now);
+    /** Withdraws the sends whose connections are still being opened, to this server or, with an empty id, to all. */
+    void withdrawSends(const BackendServerId&, SteeringActions&) const;
     void updateWorkTimes(Request&, Duration latency, std::size_t responseBytes);
     /** Whether the route's responses have been large so far. */
     bool hasLargeResponses(const Route&) const;
--- a/libs/steering/src/ServicePool.cpp
+++ b/libs/steering/src/ServicePool.cpp
@@ -51,6 +51,12 @@
     constexpr double overdueLatencyRatio = 2.5;
     constexpr double meanWorkSmoothing = 0.02;
     constexpr Duration minimumExpectedLatency = std::chrono::milliseconds { 20 };
+    // Instances that hear of a leaving server for the first time later than this find out from its own responses.
+    constexpr Duration leavingNoticeTime = std::chrono::seconds { 30 };
+    // A server that said that it leaves ends long before.
+    constexpr Duration closureMemory = std::chrono::hours { 1 };
+    // Until the next look at a server whose first request after a pause has had no response yet.
+    constexpr Duration reopeningWait = std::chrono::milliseconds { 50 };
 
     double uniform(std::uint64_t hash) noexcept { return (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53; }
 
@@ -92,6 +98,7 @@
         auto& server = m_servers[info.id];
         if (!server) {
             server = std::make_unique<Server>(info, now);
+            restore(*server);
             hasChanged = true;
         } else if (server->info.incarnation != info.incarnation || server->info.address != info.address) {
             // The restarted server has no warm objects and no history. Requests in flight went to the earlier process;
@@ -99,6 +106,8 @@
             Server restarted(info, now);
             restarted.inFlight = server->inFlight;
             restarted.startTimes = std::move(server->startTimes);
+            remember(*server, now);
+            restore(restarted);
             *server = std::move(restarted);
             hasChanged = true;
         }
@@ -114,7 +123,12 @@
         }
         hasChanged = hasChanged || it->second->isListed;
         it->second->isListed = false;
-        it = it->second->inFlight == 0 ? m_servers.erase(it) : std::next(it);
+        if (it->second->inFlight > 0) {
+            ++it;
+            continue;
+        }
+        remember(*it->second, now);
+        it = m_servers.erase(it);
     }
     if (hasChanged)
         m_orders.clear();
@@ -130,7 +144,7 @@
 
 bool ServicePool::isUsable(const Server& server) const
 {
-    return server.isListed && !server.info.isLeaving && !server.isAddressTaken
+    return server.isListed && !server.info.isLeaving && !server.closure.isLeaving && !server.isAddressTaken
         && !m_evacuated.contains(server.info.failureDomain);
 }
 
@@ -275,17 +289,33 @@
     share += warmShareSmoothing * ((wasWarm ? 1 : 0) - share);
 }
 
-void ServicePool::consider(
-    Server& server, std::size_t orderIndex, bool isUnranked, const PoolQuery& query, TimePoint now, PoolChoice& best)
+ServicePool::NextSend ServicePool::nextSend(Server& server, TimePoint now) const
 {
-    if (!isUsable(server) || !mayServe(server, query) || server.ejectedUntil > now)
-        return;
-    const bool isCold = server.info.coldUntil > now;
-    if (isCold && !hasColdToken(server, now))
+    if (!isUsable(server))
+        return { ServerBound::Unusable, std::nullopt };
+    const auto& closure = server.closure;
+    if (closure.pausedUntil > now)
+        return { ServerBound::Paused, closure.pausedUntil - now };
+    // All that has waited for the end of a pause would come at once.
+    if (closure.isReopening && server.startTimes.lower_bound(closure.pausedUntil) != server.startTimes.end())
+        return { ServerBound::Paused, reopeningWait };
+    if (server.ejectedUntil > now)
+        return { ServerBound::Ejected, std::nullopt };
+    if (server.info.coldUntil > now && !hasColdToken(server, now))
+        return { ServerBound::Cold, std::nullopt };
+    const auto wait = limitWait(server, now);
+    return { wait == Duration { 0 } ? ServerBound::None : ServerBound::Limited, wait };
+}
+
+void ServicePool::consider(Server& server, std::size_t orderIndex, bool isUnranked, bool mayAwaitPause,
+    const PoolQuery& query, TimePoint now, PoolChoice& best)
+{
+    if (!mayServe(server, query))
         return;
-    const auto untilAllowed = limitWait(server, now);
-    if (!untilAllowed)
+    const auto [bound, untilAllowed] = nextSend(server, now);
+    if (!untilAllowed || (bound == ServerBound::Paused && !mayAwaitPause))
         return;
+    const bool isCold = server.info.coldUntil > now;
     const auto slots = static_cast<double>(server.info.slots);
     const auto taken = occupancy(server, now);
     const auto ahead = taken + server.claims;
@@ -325,12 +355,14 @@
     best.expected = fromSeconds(score);
     best.occupancy = taken / slots;
     best.orderIndex = orderIndex;
+    best.pausedFor = bound == ServerBound::Paused ? *untilAllowed : Duration { 0 };
 }
 
 PoolChoice ServicePool::choose(const PoolQuery& query, TimePoint now)
 {
     PoolChoice best;
     const auto wanted = selectRegion(query);
+    bool mayAwaitPause = false;
     const auto visit = [&](const auto& isVisited) {
         if (query.object) {
             std::size_t orderIndex = 0;
@@ -339,22 +371,26 @@
                 orderIndex = server->info.region == region ? orderIndex + 1 : 0;
                 region = server->info.region;
                 if (isVisited(region))
-                    consider(*server, orderIndex, false, query, now, best);
+                    consider(*server, orderIndex, false, mayAwaitPause, query, now, best);
             }
         }
         if (best.server && best.hasFreeSlot)
             return;
         for (const auto& [id, server] : m_servers) {
             if (isVisited(server->info.region))
-                consider(*server, rankedLocalServers, query.object.has_value(), query, now, best);
+                consider(*server, rankedLocalServers, query.object.has_value(), mayAwaitPause, query, now, best);
         }
     };
     visit([&](const RegionId& region) { return region == wanted; });
     // If the selected region has no server that may run the request, the own region is tried, then all regions.
     if (!best.server)
         visit([&](const RegionId& region) { return region == m_region; });
+    const auto isAny = [](const RegionId&) { return true; };
+    if (!best.server)
+        visit(isAny);
+    mayAwaitPause = true;
     if (!best.server)
-        visit([&](const RegionId&) { return true; });
+        visit(isAny);
     return best;
 }
 
@@ -405,6 +441,7 @@
         server.startTimes.erase(server.startTimes.begin());
     if (!server.isListed) {
         if (server.inFlight == 0) {
+            remember(server, now);
             m_servers.erase(it);
             m_orders.clear();
         }
@@ -419,6 +456,9 @@
         m_meanOtherInstancesLoad += meanOtherInstancesLoadSmoothing
             * (otherInstancesLoad / std::max(1U, server.info.slots) - m_meanOtherInstancesLoad);
     }
+    const bool wasServed = result == DispatchResult::Succeeded || result == DispatchResult::ServerError;
+    if (wasServed && now - latency >= server.closure.pausedUntil)
+        server.closure.isReopening = false;
     switch (result) {
     case DispatchResult::Succeeded: {
         const auto work = std::max(0.0, toSeconds(latency - roundTrip(server.info.region)));
@@ -482,28 +522,87 @@
     }
 }
 
-bool ServicePool::limitStated(const BackendServerId& id, double perSecond, TimePoint sent, TimePoint now)
+StatementChange ServicePool::stated(
+    const BackendServerId& id, const ServerStatement& statement, TimePoint sent, TimePoint now)
 {
+    StatementChange change;
     const auto it = m_servers.find(id);
     // Requests that were sent to an earlier start of the server say nothing about this one.
-    return it != m_servers.end() && sent >= it->second->knownSince && it->second->limit.state(perSecond, sent, now);
+    if (it == m_servers.end() || sent < it->second->knownSince)
+        return change;
+    auto& server = *it->second;
+    auto& closure = server.closure;
+    if (statement.requestLimit)
+        change.limit = server.limit.state(*statement.requestLimit, sent, now);
+    if (statement.isLeaving) {
+        change.leaving = !std::exchange(closure.isLeaving, true);
+        closure.isToBeTold = true;
+        closure.statedAt = now;
+    }
+    if (statement.pause && now + *statement.pause > closure.pausedUntil) {
+        change.pause = true;
+        closure.pausedUntil = now + *statement.pause;
+        closure.isReopening = true;
+        closure.statedAt = now;
+        server.isPaused = true;
+    }
+    change.unreadable = statement.isUnreadable && !std::exchange(server.hasStatedUnreadable, true);
+    if (change.leaving)
+        m_orders.clear();
+    return change;
 }
 
-bool ServicePool::learnLimit(const ServerLimitStatement& statement, TimePoint now)
+StatementChange ServicePool::learn(const ServerNotice& notice, TimePoint now)
 {
-    const auto it = m_servers.find(statement.server);
-    return it != m_servers.end() && it->second->info.incarnation == statement.incarnation
-        && it->second->limit.learn(statement, now);
+    StatementChange change;
+    const auto it = m_servers.find(notice.server);
+    if (it == m_servers.end()) {
+        if (notice.isLeaving)
+            m_closures.insert_or_assign(notice.server, Closure { notice.incarnation, true, false, now });
+        return change;
+    }
+    auto& server = *it->second;
+    if (server.info.incarnation != notice.incarnation)
+        return change;
+    change.limit = server.limit.learn(notice, now);
+    change.leaving = notice.isLeaving && !std::exchange(server.closure.isLeaving, true);
+    if (change.leaving) {
+        server.closure.statedAt = now - notice.age;
+        m_orders.clear();
+    }
+    return change;
 }
 
-std::vector<ServerLimitStatement> ServicePool::limitStatements(TimePoint now) const
+std::vector<ServerNotice> ServicePool::notices(TimePoint now) const
 {
-    std::vector<ServerLimitStatement> statements;
+    std::vector<ServerNotice> notices;
     for (const auto& [id, server] : m_servers) {
-        if (server->isListed && server->limit.isToBeTold(now))
-            statements.push_back({ id, server->info.incarnation, server->limit.perSecond(), server->limit.age(now) });
+        const auto& closure = server->closure;
+        const bool tellsLeaving = closure.isToBeTold && now - closure.statedAt < leavingNoticeTime;
+        const bool tellsLimit = server->isListed && server->limit.isToBeTold(now);
+        if (tellsLeaving || tellsLimit) {
+            notices.push_back({ id, server->info.incarnation, server->limit.perSecond(), closure.isLeaving,
+                tellsLimit ? server->limit.age(now) : now - closure.statedAt });
+        }
     }
-    return statements;
+    return notices;
+}
+
+void ServicePool::remember(const Server& server, TimePoint now)
+{
+    std::erase_if(m_closures, [now](const auto& it) { return now - it.second.statedAt > closureMemory; });
+    if (!server.closure.isLeaving && server.closure.pausedUntil <= now)
+        return;
+    auto closure = server.closure;
+    closure.incarnation = server.info.incarnation;
+    m_closures.insert_or_assign(server.info.id, closure);
+}
+
+void ServicePool::restore(Server& server)
+{
+    if (const auto it = m_closures.find(server.info.id);
+        it != m_closures.end() && it->second.incarnation == server.info.incarnation)
+        server.closure = it->second;
 }
 
 std::optional<Duration> ServicePool::limitWait(Server& server, TimePoint now) const
@@ -520,7 +619,7 @@
 
 double ServicePool::usedSlots(const Server& server) const noexcept
 {
-    const auto slots = static_cast<double>(server.info.slots);
+    const auto slots = server.isPaused ? 0.0 : static_cast<double>(server.info.slots);
     return server.limit.isSet() && m_meanWorkSeconds > 0 ? std::min(slots, server.limit.perSecond() * m_meanWorkSeconds)
                                                          : slots;
 }
@@ -573,10 +672,15 @@
     return slots <= 0 ? 1 : taken / slots;
 }
 
-std::size_t ServicePool::limitedServers() const noexcept
+StatedServers ServicePool::statedServers() const noexcept
 {
-    return static_cast<std::size_t>(std::count_if(m_servers.begin(), m_servers.end(),
-        [](const auto& it) { return it.second->isListed && it.second->limit.isSet(); }));
+    StatedServers counts;
+    for (const auto& [id, server] : m_servers) {
+        counts.limited += server->isListed && server->limit.isSet() ? 1 : 0;
+        counts.leaving += server->isListed && server->closure.isLeaving ? 1 : 0;
+        counts.paused += server->isListed && server->isPaused ? 1 : 0;
+    }
+    return counts;
 }
 
 double ServicePool::localSlots() const noexcept
@@ -662,6 +766,8 @@
 
 void ServicePool::tick(TimePoint now, bool hasUnservedRequests)
 {
+    for (const auto& [id, server] : m_servers)
+        server->isPaused = server->closure.pausedUntil > now;
     // Requests may also wait for one popular server while other servers have free slots. That is no shortage.
     if (hasUnservedRequests && localOccupancy(now) >= slotShortageMinimumOccupancy)
         m_shortOfSlotsUntil = now + slotShortageHoldTime;
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -528,10 +528,7 @@
             enqueue(*request, now, actions);
         }
     }
-    for (const auto& [handle, request] : m_requests) {
-        if (request->runningAt)
-            actions.emplace_back(WithdrawSend { handle });
-    }
+    withdrawSends({}, actions);
 }
 
 SteeringActions TrafficSteering::serverEnded(const CrashReport& report, TimePoint now)
@@ -562,38 +559,59 @@
             .add("isolated", m_crashes.isIsolated(report.content)));
 }
 
-std::vector<ServerLimitStatement> TrafficSteering::limitStatements(TimePoint now) const
+std::vector<ServerNotice> TrafficSteering::serverNotices(TimePoint now) const
 {
-    std::vector<ServerLimitStatement> statements;
+    std::vector<ServerNotice> notices;
     for (const auto& [id, entry] : m_services) {
-        for (auto& statement : entry->pool.limitStatements(now))
-            statements.push_back(std::move(statement));
+        for (auto& notice : entry->pool.notices(now))
+            notices.push_back(std::move(notice));
     }
-    return statements;
+    return notices;
 }
 
-void TrafficSteering::learnLimits(const std::vector<ServerLimitStatement>& statements, TimePoint now)
+void TrafficSteering::learn(const std::vector<ServerNotice>& notices, TimePoint now)
 {
-    for (const auto& statement : statements) {
-        for (const auto& [id, entry] : m_services) {
-            if (entry->pool.learnLimit(statement, now))
-                logLimit(statement.server, statement.perSecond, true);
-        }
+    for (const auto& notice : notices) {
+        ServerStatement statement;
+        statement.requestLimit = notice.requestsPerSecond;
+        for (const auto& [id, entry] : m_services)
+            logChange(notice.server, entry->pool.learn(notice, now), statement, true);
     }
 }
 
-void TrafficSteering::logLimit(const BackendServerId& server, double perSecond, bool isFromPeer) const
+void TrafficSteering::logChange(const BackendServerId& server, const StatementChange& change,
+    const ServerStatement& statement, bool isFromPeer) const
 {
-    m_log.write(LogLevel::Info,
-        LogLine("server_limit").add("server", server).add("per_second", perSecond).add("from_peer", isFromPeer));
+    const auto write
+        = [&](LogLine line) { m_log.write(LogLevel::Info, line.add("server", server).add("from_peer", isFromPeer)); };
+    if (change.limit)
+        write(LogLine("server_limit").add("per_second", *statement.requestLimit));
+    if (change.leaving)
+        write(LogLine("server_leaving"));
+    if (change.pause)
+        write(LogLine("server_paused").add("pause_ms", *statement.pause));
+    if (change.unreadable)
+        m_log.write(LogLevel::Warning, LogLine("server_statement_unreadable").add("server", server));
 }
 
-std::size_t TrafficSteering::limitedServers() const noexcept
+StatedServers TrafficSteering::statedServers() const noexcept
 {
-    std::size_t count = 0;
-    for (const auto& [id, entry] : m_services)
-        count += entry->pool.limitedServers();
-    return count;
+    StatedServers sum;
+    for (const auto& [id, entry] : m_services) {
+        const auto counts = entry->pool.statedServers();
+        sum.limited += counts.limited;
+        sum.leaving += counts.leaving;
+        sum.paused += counts.paused;
+    }
+    return sum;
+}
+
+void TrafficSteering::withdrawSends(const BackendServerId& server, SteeringActions& actions) const
+{
+    for (const auto& [handle, request] : m_requests) {
+        if (request->runningAt && (server.isEmpty() || *request->runningAt == server))
+            actions.emplace_back(WithdrawSend { handle });
+    }
 }
 
 const RegionId* TrafficSteering::homeRegion(const Request& request)
@@ -667,12 +685,16 @@
         return;
     }
     request.isLate = isLate(request, now);
-    const auto serverWait = choice.hasFreeSlot ? Duration { 0 } : expectedWait(request, now);
+    const auto serverWait
+        = choice.hasFreeSlot ? Duration { 0 } : std::max(choice.pausedFor, expectedWait(request, now));
     const auto wait = isBlocked ? std::max(serverWait, expectedOutflowWait(request, now)) : serverWait;
     request.predictedLatency = std::max(choice.expected, wait + request.expectedWarmWork);
     if (!mayWait(request, wait, now)) {
         service.hasRejected = service.hasRejected || !isBlocked;
-        reject(request, isBlocked ? RejectReason::ShiftLimited : RejectReason::Overloaded, wait, now, actions);
+        const auto reason = isBlocked           ? RejectReason::ShiftLimited
+            : choice.pausedFor > Duration { 0 } ? RejectReason::Paused
+                                                : RejectReason::Overloaded;
+        reject(request, reason, wait, now, actions);
         return;
     }
     request.isQueued = true;
@@ -762,6 +784,7 @@
     service.pool.clearClaims();
     service.queue.clear();
     std::size_t waiting = 0;
+    std::vector<std::pair<Request*, Duration>> paused; // Requests that can't wait so long for a server.
     for (auto& [key, request] : order) {
         if (waiting >= maximumWaitingPerPass) {
             service.queue.push_back(request);
@@ -785,6 +808,12 @@
         service.queue.push_back(request);
         if (choice.server)
             service.pool.claim(choice.server->id);
+        if (choice.pausedFor > Duration { 0 } && !mayWait(*request, choice.pausedFor, now))
+            paused.emplace_back(request, choice.pausedFor);
+    }
+    for (const auto& [request, pause] : paused) {
+        std::erase(newlyLate, request);
+        reject(*request, RejectReason::Paused, pause, now, actions);
     }
     // Rejects requests that have just become late and are not expected to be served soon.
     for (auto* request : newlyLate) {
@@ -869,7 +898,7 @@
     }
 }
 
-void TrafficSteering::recordSendResult(Request& request, const SendReport& report, TimePoint now)
+bool TrafficSteering::recordSendResult(Request& request, const SendReport& report, TimePoint now)
 {
     const auto server = *std::exchange(request.runningAt, std::nullopt);
     observeReach(server, request, report, now);
@@ -880,9 +909,9 @@
     // Only at the object's first choice is a warm run likely enough that a long latency indicates a slow server.
     const bool isSurelyWarm = !request.object || request.warmReason == WarmReason::FirstChoice;
     const auto expected = isSurelyWarm ? request.expectedWork : query(request).coldWork;
-    if (report.requestLimit && pool.limitStated(server, *report.requestLimit, request.sentAt, now))
-        logLimit(server, *report.requestLimit, false);
-    pool.finished(server, report.result, now - request.sentAt, expected, report.load, now);
+    const auto change = pool.stated(server, report.statement, request.sentAt, now);
+    logChange(server, change, report.statement, false);
+    pool.finished(server, report.result, now - request.sentAt, expected, report.statement.load, now);
     if (report.result == DispatchResult::Succeeded) {
         const auto* info = pool.find(server);
         updateWorkTimes(request, now - request.sentAt - (info ? pool.roundTrip(info->region) : Duration { 0 }),
@@ -898,6 +927,7 @@
         --request.sends;
     else if (report.result != DispatchResult::Succeeded)
         request.excluded.push_back(server);
+    return change.hasClosed();
 }
 
 void TrafficSteering::updateWorkTimes(Request& request, Duration latency, std::size_t responseBytes)
@@ -936,7 +966,9 @@
                 .add("latency_ms", now - request.sentAt)
                 .add("detail", report.detail));
     }
-    recordSendResult(request, report, now);
+    const auto server = *request.runningAt;
+    if (recordSendResult(request, report, now))
+        withdrawSends(server, actions);
     followReach(now, actions);
     if (report.result == DispatchResult::Succeeded)
         deliver(request, now, actions);
@@ -1002,12 +1034,13 @@
         reason = RejectReason::ServerFailed;
     ++m_counters.rejected[reason];
     const bool hasRetryAfter = reportsNotRun && request.runs == 0;
-    // Rejections by quota state the time that the gate returned, and those of isolated requests the shortest isolation;
+    // Rejections by quota or pause state the exact time, and those of isolated requests the shortest isolation;
     // others state the expected wait, limited to the range that callers respect.
-    const auto after = !hasRetryAfter          ? Duration { 0 }
-        : reason == RejectReason::RateExceeded ? std::max(retryAfter, Duration { 1'000 })
-        : reason == RejectReason::EndsServers  ? m_options.crashes.minimumRetention
-                                               : boundedRetryAfter(retryAfter, request, now);
+    const bool isExact = reason == RejectReason::RateExceeded || reason == RejectReason::Paused;
+    const auto after = !hasRetryAfter         ? Duration { 0 }
+        : isExact                             ? std::max(retryAfter, Duration { 1'000 })
+        : reason == RejectReason::EndsServers ? m_options.crashes.minimumRetention
+                                              : boundedRetryAfter(retryAfter, request, now);
     actions.emplace_back(RejectRequest { request.handle, reason, after });
     if (m_log.isEnabled(LogLevel::Info)) {
         m_log.write(LogLevel::Info,
--- a/libs/steering/tests/LimitedFleet.h
+++ b/libs/steering/tests/LimitedFleet.h
@@ -237,10 +237,10 @@
         for (auto& statement : m_exchanged)
             statement.age += interval;
         for (auto& instance : m_instances)
-            instance.steering->learnLimits(m_exchanged, m_now);
+            instance.steering->learn(m_exchanged, m_now);
         m_exchanged.clear();
         for (const auto& instance : m_instances) {
-            for (const auto& statement : instance.steering->limitStatements(m_now))
+            for (const auto& statement : instance.steering->serverNotices(m_now))
                 m_exchanged.push_back(statement);
         }
     }
@@ -282,8 +282,8 @@
         if (instance.starts != run.start)
             return;
         SendReport report;
-        report.requestLimit = limit(run.server);
-        if (report.requestLimit < unlimitedRate)
+        report.statement.requestLimit = limit(run.server);
+        if (report.statement.requestLimit < unlimitedRate)
             instance.told.try_emplace(run.server, m_now);
         perform(run.instance, instance.steering->finished(run.request, report, m_now));
     }
@@ -301,7 +301,7 @@
     TimePoint m_now { std::chrono::seconds { 1'000 } };
     TimePoint m_nextRequest = m_now;
     TimePoint m_nextExchange = m_now;
-    std::vector<ServerLimitStatement> m_exchanged; // On their way.
+    std::vector<ServerNotice> m_exchanged; // On their way.
     std::vector<ListedServer> m_servers;
     std::map<BackendServerId, double> m_limits;
     std::vector<Instance> m_instances;
--- a/libs/steering/tests/ServerLimitTest.cpp
+++ b/libs/steering/tests/ServerLimitTest.cpp
@@ -156,7 +156,7 @@
             pool.started(server, {}, start);
         pool.claim(server);
         CPPUNIT_ASSERT(!pool.choose({}, start).hasFreeSlot);
-        pool.limitStated(server, 2, start, start + 100ms);
+        stated(pool, 2, start, start + 100ms);
         for (int i = 0; i < 9; ++i)
             pool.finished(server, DispatchResult::Succeeded, 100ms, 100ms, {}, start + 100ms);
         pool.clearClaims();
@@ -172,7 +172,7 @@
         ServerLimit limit;
         CPPUNIT_ASSERT(limit.state(3, start, start + 200ms));
         CPPUNIT_ASSERT(!limit.state(unlimitedRate, start + 100ms, start + 250ms));
-        CPPUNIT_ASSERT(!limit.learn({ server, 0, unlimitedRate, 100ms }, start + 280ms));
+        CPPUNIT_ASSERT(!limit.learn({ server, 0, unlimitedRate, false, 100ms }, start + 280ms));
         CPPUNIT_ASSERT(limit.state(2, start + 100ms, start + 260ms));
         CPPUNIT_ASSERT(limit.isSet());
         CPPUNIT_ASSERT(limit.state(unlimitedRate, start + 300ms, start + 400ms));
@@ -183,15 +183,15 @@
     void statementsHoldForOneStartOfTheServer()
     {
         auto pool = onePool();
-        CPPUNIT_ASSERT(pool.learnLimit({ server, 7, 0.5, 0ms }, start));
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, pool.limitedServers());
+        CPPUNIT_ASSERT(pool.learn({ server, 7, 0.5 }, start).limit);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, pool.statedServers().limited);
         auto restarted = listed();
         restarted.incarnation = 8;
         pool.setServers({ restarted }, start + 1s);
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, pool.limitedServers());
-        CPPUNIT_ASSERT(!pool.learnLimit({ server, 7, 0.5, 0ms }, start + 1s));
-        CPPUNIT_ASSERT(!pool.limitStated(server, 0.5, start, start + 2s));
-        CPPUNIT_ASSERT(pool.limitStated(server, 0.5, start + 2s, start + 3s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, pool.statedServers().limited);
+        CPPUNIT_ASSERT(!pool.learn({ server, 7, 0.5 }, start + 1s).limit);
+        CPPUNIT_ASSERT(!stated(pool, 0.5, start, start + 2s));
+        CPPUNIT_ASSERT(stated(pool, 0.5, start + 2s, start + 3s));
     }
 
     /** Requests would be kept in a region, or accepted, for slots that a limit keeps idle. */
@@ -201,7 +201,7 @@
         pool.started(server, {}, start);
         pool.finished(server, DispatchResult::Succeeded, 200ms, 200ms, {}, start + 200ms);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(8, pool.localSlots(), 1e-9);
-        pool.limitStated(server, 5, start, start + 200ms);
+        stated(pool, 5, start, start + 200ms);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1, pool.localSlots(), 1e-9);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1, pool.slots(), 1e-9);
     }
@@ -218,6 +218,13 @@
         return info;
     }
 
+    static bool stated(ServicePool& pool, double limit, TimePoint sent, TimePoint now)
+    {
+        ServerStatement statement;
+        statement.requestLimit = limit;
+        return pool.stated(server, statement, sent, now).limit;
+    }
+
     static ServicePool onePool()
     {
         ServicePool pool(RegionId("jadran"), {}, 1);
--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -173,19 +173,20 @@
         return { WorkspaceId { nonEmptyName(from.workspace()) }, boundedRate(from.requests_per_second()) };
     }
 
-    void write(const ServerLimitReport& from, proto::ServerLimit& to)
+    void write(const ServerReport& from, proto::ServerReport& to)
     {
         to.set_server(from.server.value());
         to.set_incarnation(from.incarnation);
         to.set_requests_per_second(from.requestsPerSecond);
         to.set_age_us(microseconds(from.age));
+        to.set_is_leaving(from.isLeaving);
     }
 
-    ServerLimitReport read(const proto::ServerLimit& from)
+    ServerReport read(const proto::ServerReport& from)
     {
         require(from.requests_per_second() >= 0, "a limit is no rate");
         return { BackendServerId { nonEmptyName(from.server()) }, from.incarnation(), from.requests_per_second(),
-            duration(from.age_us()) };
+            duration(from.age_us()), from.is_leaving() };
     }
 
     void write(const ViewVersion& from, proto::ViewVersion& to)
@@ -223,8 +224,8 @@
             write(load, *to.add_loads());
         for (const auto& demand : from.demands)
             write(demand, *to.add_demands());
-        for (const auto& limit : from.limits)
-            write(limit, *to.add_limits());
+        for (const auto& report : from.serverReports)
+            write(report, *to.add_server_reports());
         to.set_age_us(microseconds(from.age));
     }
 
@@ -249,9 +250,9 @@
         requireBounded(from.demands());
         for (const auto& demand : from.demands())
             to.demands.push_back(read(demand));
-        requireBounded(from.limits());
-        for (const auto& limit : from.limits())
-            to.limits.push_back(read(limit));
+        requireBounded(from.server_reports());
+        for (const auto& report : from.server_reports())
+            to.serverReports.push_back(read(report));
         to.age = duration(from.age_us());
         return to;
     }
@@ -347,7 +348,7 @@
             writeAll(from.known, to.mutable_known());
             writeAll(from.loads, to.mutable_loads());
             writeAll(from.demands, to.mutable_demands());
-            writeAll(from.limits, to.mutable_limits());
+            writeAll(from.serverReports, to.mutable_server_reports());
         }
 
         void operator()(const HeartbeatReply& from) const
@@ -460,7 +461,7 @@
         to.known = readAll<KnownView>(from.known());
         to.loads = readAll<ServiceLoad>(from.loads());
         to.demands = readAll<WorkspaceDemand>(from.demands());
-        to.limits = readAll<ServerLimitReport>(from.limits());
+        to.serverReports = readAll<ServerReport>(from.server_reports());
         return to;
     }
 
--- a/libs/wire/tests/CodecTest.cpp
+++ b/libs/wire/tests/CodecTest.cpp
@@ -32,8 +32,8 @@
         value.store = { true, milliseconds { 250 } };
         value.loads = { { ServiceId { "salonik" }, 8, 3, 1, 2.5 } };
         value.demands = { { WorkspaceId { "kavana" }, 12.25 } };
-        value.limits
-            = { { BackendServerId { "i-2" }, -5, std::numeric_limits<double>::infinity(), milliseconds { 3 } } };
+        value.serverReports
+            = { { BackendServerId { "i-2" }, -5, std::numeric_limits<double>::infinity(), milliseconds { 3 }, true } };
         value.age = milliseconds { 731 };
         value.members.back().isDetached = true;
         return value;
@@ -106,8 +106,8 @@
         CPPUNIT_ASSERT(heartbeat.evidence.age == milliseconds { 900 });
         CPPUNIT_ASSERT(heartbeat.loads.front() == (ServiceLoad { ServiceId { "salonik" }, 8, 3, 1, 2.5 }));
         CPPUNIT_ASSERT(heartbeat.demands.front() == (WorkspaceDemand { WorkspaceId { "kavana" }, 4.5 }));
-        CPPUNIT_ASSERT(heartbeat.limits.front()
-            == (ServerLimitReport { BackendServerId { "i-1" }, 1'770'000'000'000, 2.7, milliseconds { 40 } }));
+        CPPUNIT_ASSERT(heartbeat.serverReports.front()
+            == (ServerReport { BackendServerId { "i-1" }, 1'770'000'000'000, 2.7, milliseconds { 40 } }));
         const auto reply = std::get<HeartbeatReply>(decode(encode(all[1]))->message);
         CPPUNIT_ASSERT(reply.token == 6 && reply.highestVersion == 13 && reply.witnessedVersion == 12);
         CPPUNIT_ASSERT(reply.lowestVersion == 11 && reply.isReachabilityWitnessed && reply.viewHash == 98);
@@ -119,7 +119,7 @@
         CPPUNIT_ASSERT(domain.members == summary().members);
         CPPUNIT_ASSERT(domain.removed == summary().removed);
         CPPUNIT_ASSERT(domain.demands == summary().demands);
-        CPPUNIT_ASSERT(domain.limits == summary().limits);
+        CPPUNIT_ASSERT(domain.serverReports == summary().serverReports);
         CPPUNIT_ASSERT(domain.version == summary().version);
         CPPUNIT_ASSERT(domain.age == summary().age && domain.store.age == summary().store.age && domain.isFull);
         const auto demand = std::get<BudgetDemand>(decode(encode(all[4]))->message);
@@ -179,7 +179,7 @@
         CPPUNIT_ASSERT(!decode(encode(badDemand)).has_value());
         for (const auto rate : { -1.0, std::numeric_limits<double>::quiet_NaN() }) {
             auto badLimit = oneOfEach()[0];
-            std::get<Heartbeat>(badLimit.message).limits.front().requestsPerSecond = rate;
+            std::get<Heartbeat>(badLimit.message).serverReports.front().requestsPerSecond = rate;
             CPPUNIT_ASSERT(!decode(encode(badLimit)).has_value());
         }
         auto noDeployment = oneOfEach()[6];
@@ -188,12 +188,12 @@
     }
 
     // Four heartbeats and replies a second must stay far below 7 KB/s; 200 bytes each leave room for TCP and budgets.
-    // Each limit that a server names comes in addition, while the server names it.
+    // A report on each server that names a limit or leaves comes in addition.
     void heartbeatIsCompact()
     {
         auto sample = oneOfEach()[0];
         const auto withLimit = encode(sample).size();
-        std::get<Heartbeat>(sample.message).limits.clear();
+        std::get<Heartbeat>(sample.message).serverReports.clear();
         const auto size = encode(sample).size();
         CPPUNIT_ASSERT(size <= 200);
         CPPUNIT_ASSERT(withLimit - size <= 40);
