--- a/libs/entry/include/entry/ServerConnections.h
+++ b/libs/entry/include/entry/ServerConnections.h
@@ -41,7 +41,7 @@
 /** Not thread-safe. */
 class ServerConnections {
 public:
-    ServerConnections(boost::asio::io_context&, ServerConnectionsOptions);
+    ServerConnections(boost::asio::io_context&, const ServerConnectionsOptions&);
     ~ServerConnections();
     ServerConnections(const ServerConnections&) = delete;
     ServerConnections& operator=(const ServerConnections&) = delete;
--- a/libs/entry/src/ServerConnections.cpp
+++ b/libs/entry/src/ServerConnections.cpp
@@ -20,7 +20,7 @@
 
 }
 
-ServerConnections::ServerConnections(boost::asio::io_context& context, ServerConnectionsOptions options)
+ServerConnections::ServerConnections(boost::asio::io_context& context, const ServerConnectionsOptions& options)
     : m_context(context)
     , m_options(options)
     , m_safeIdleTime(options.maximumSafeIdleTime)
--- a/libs/entry/tests/CrashIsolationTest.cpp
+++ b/libs/entry/tests/CrashIsolationTest.cpp
@@ -145,7 +145,7 @@
 /** A caller, a gateway and ten backend servers. Each request may run at two servers. */
 class CrashHarness : public CallerAndGateway {
 public:
-    explicit CrashHarness(ServerConnectionsOptions connectionsOptions = {})
+    explicit CrashHarness(const ServerConnectionsOptions& connectionsOptions = {})
         : CallerAndGateway(optionsWithRetries(), connectionsOptions)
     {
         for (int i = 0; i < 10; ++i) {
--- a/libs/entry/tests/GatewayHarness.h
+++ b/libs/entry/tests/GatewayHarness.h
@@ -67,8 +67,8 @@
 /** A caller and a gateway with one route. The context runs in runUntil() only. */
 class CallerAndGateway {
 public:
-    explicit CallerAndGateway(
-        const SteeringOptions& options = { RegionId("jadran"), {} }, ServerConnectionsOptions connectionsOptions = {})
+    explicit CallerAndGateway(const SteeringOptions& options = { RegionId("jadran"), {} },
+        const ServerConnectionsOptions& connectionsOptions = {})
         : steering(options, 1, log)
         , connections(context, connectionsOptions)
         , peers(context, {})
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -49,7 +49,7 @@
     ClientConnectionOptions options, StateHandler onIdle, StateHandler onClosed)
     : m_context(context)
     , m_endpoint(std::move(endpoint))
-    , m_options(options)
+    , m_options(std::move(options))
     , m_onIdle(std::move(onIdle))
     , m_onClosed(std::move(onClosed))
     , m_socket(context)
--- a/libs/steering/tests/DetachedInstanceTest.cpp
+++ b/libs/steering/tests/DetachedInstanceTest.cpp
@@ -472,7 +472,7 @@
         peer.setServers(servers(6, 1'000), start);
         peer.quotas().setAdmission(WorkspaceId("kavana"), { 0.6, 10'000, 1s });
         RequestHandle handle = 0;
-        const auto admits = [&](CallerRequest message) {
+        const auto admits = [&](const CallerRequest& message) {
             const auto actions = peer.begin(++handle, message, m_now);
             return std::holds_alternative<SendToServer>(actions.at(0));
         };
