--- a/libs/entry/include/entry/InstanceGroup.h
+++ b/libs/entry/include/entry/InstanceGroup.h
@@ -52,9 +52,9 @@
     void setDemands(const std::map<WorkspaceId, double>&);
     /** Sets the load of the backend servers in this instance's region, by service, as this instance measures it. */
     void setLoads(std::vector<ServiceLoad> loads) { m_membership.setLoads(std::move(loads)); }
-    /** Sets what backend servers have stated to this instance on their serverReports. */
+    /** Sets what backend servers have stated to this instance that concerns all of them. */
     void setServerReports(std::vector<ServerReport>);
-    /** Returns what backend servers have stated to the instances on their serverReports. */
+    /** Returns what backend servers have stated to the instances that concerns all of them. */
     std::vector<ServerReport> serverReports() const;
     /** Returns the slots that callers' requests would fill if all were served, by service and by the region of the
      *  entry instance that receives the requests. */
--- a/libs/steering/src/ServicePool.cpp
+++ b/libs/steering/src/ServicePool.cpp
@@ -51,7 +51,7 @@
     constexpr double overdueLatencyRatio = 2.5;
     constexpr double meanWorkSmoothing = 0.02;
     constexpr Duration minimumExpectedLatency = std::chrono::milliseconds { 20 };
-    // Instances that hear of a leaving server for the first time later than this find out from its own responses.
+    // After its last such response, a leaving server is named to the other instances for this long.
     constexpr Duration leavingNoticeTime = std::chrono::seconds { 30 };
     // A server that said that it leaves ends long before.
     constexpr Duration closureMemory = std::chrono::hours { 1 };
