--- a/libs/entry/include/entry/RequestGateway.h
+++ b/libs/entry/include/entry/RequestGateway.h
@@ -36,6 +36,8 @@
      *  answer them. */
     void rejectNewRequests() noexcept { m_rejectsNewRequests = true; }
     std::size_t openRequests() const noexcept { return m_requests.size(); }
+    /** How late the periodic check of the gateway ran: the time for which due work waits for the process. */
+    const LatencyHistogram& loopDelays() const noexcept { return m_loopDelays; }
 
 private:
     struct OpenRequest {
@@ -71,6 +73,7 @@
     void report(RequestHandle, const SendReport&);
     void answer(RequestHandle, HttpResponse);
     void scheduleTick();
+    void noteLoopDelay(Duration);
 
     boost::asio::io_context& m_context;
     TrafficSteering& m_steering;
@@ -81,6 +84,7 @@
     boost::asio::steady_timer m_tickTimer;
     std::unordered_map<RequestHandle, OpenRequest> m_requests;
     RequestHandle m_lastHandle = 0;
+    LatencyHistogram m_loopDelays;
     bool m_rejectsNewRequests = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -20,6 +20,8 @@
 
     // Interval at which deadlines and queued requests are checked. Time limits are at least 100 ms.
     constexpr std::chrono::milliseconds tickInterval { 20 };
+    // A delay that callers notice; shorter ones are in the histogram only.
+    constexpr std::chrono::milliseconds loggedLoopDelay { 100 };
     // A connection that breaks within this time was accepted by something on the way that does not reach the server.
     constexpr Duration probeSettleTime = std::chrono::milliseconds { 30 };
     // Short, because another instance can take the request at once.
@@ -78,11 +80,21 @@
     m_tickTimer.async_wait([this](const boost::system::error_code& ec) {
         if (ec)
             return;
+        noteLoopDelay(
+            std::chrono::duration_cast<Duration>(asio::steady_timer::clock_type::now() - m_tickTimer.expiry()));
         perform(m_steering.tick(steadyNow()));
         scheduleTick();
     });
 }
 
+void RequestGateway::noteLoopDelay(Duration delay)
+{
+    m_loopDelays.add(delay);
+    if (delay >= loggedLoopDelay)
+        m_log.write(
+            LogLevel::Info, LogLine("event_loop_late").add("delay_ms", delay).add("open_requests", m_requests.size()));
+}
+
 void RequestGateway::handle(const std::shared_ptr<HttpExchange>& exchange)
 {
     auto read = m_protocol.read(exchange->request);
--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,8 +24,11 @@
 /** Not thread-safe: runs on the thread of the io_context. */
 class HttpServer {
 public:
-    HttpServer(
-        boost::asio::io_context&, HttpServerLimits, std::size_t maximumConnections, ServerConnection::RequestHandler);
+    using EndHandler = std::function<void(const ConnectionEnd&)>;
+
+    /** @p onEnd, which may be empty, is called when a connection has ended. */
+    HttpServer(boost::asio::io_context&, HttpServerLimits, std::size_t maximumConnections,
+        ServerConnection::RequestHandler, EndHandler onEnd = {});
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
@@ -39,6 +43,8 @@
     void stopAccepting();
     void closeAll();
     std::size_t connectionCount() const noexcept { return m_connections.size(); }
+    /** Connections that have ended, by reason. */
+    const std::map<CloseReason, std::uint64_t>& endedConnections() const noexcept { return m_ended; }
 
 private:
     void accept();
@@ -49,9 +55,11 @@
     HttpServerLimits m_limits;
     const std::size_t m_maximumConnections;
     ServerConnection::RequestHandler m_onRequest;
+    EndHandler m_onEnd;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_sweepTimer;
     std::map<ServerConnection*, std::shared_ptr<ServerConnection>> m_connections;
+    std::map<CloseReason, std::uint64_t> m_ended;
     std::optional<Duration> m_drainIdleTime;
     bool m_isAcceptPaused = false; // The limit of connections is reached.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- /dev/null
+++ b/libs/http/include/http/PendingInput.h
@@ -0,0 +1,29 @@
+// Looks at what a socket has received and the program has not read yet.
+
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <sys/socket.h>
+
+namespace peridot {
+
+enum class PendingInput {
+    None,
+    Bytes,
+    End, // The peer has closed its side, and all before was read.
+};
+
+/** Doesn't block and reads nothing. A broken connection counts as ended. */
+inline PendingInput pendingInput(boost::asio::ip::tcp::socket& socket)
+{
+    char byte = 0;
+    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (received > 0)
+        return PendingInput::Bytes;
+    if (received == 0)
+        return PendingInput::End;
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? PendingInput::None : PendingInput::End;
+}
+
+}
--- a/libs/http/include/http/ServerConnection.h
+++ b/libs/http/include/http/ServerConnection.h
@@ -2,9 +2,11 @@
 
 #pragma once
 
+#include "base/EnumNames.h"
 #include "base/SteadyTime.h"
 #include "base/Time.h"
 #include "http/MessageHeaders.h"
+#include "http/PendingInput.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -28,6 +30,39 @@
     std::size_t pipelineDepth = 32; // Requests read ahead of their answers, per connection.
 };
 
+/** Why a connection of a caller ended. */
+enum class CloseReason {
+    CallerClosed,
+    Broken, // An error of the socket.
+    FinalAnswer, // The last answer announced the end.
+    Leaving, // Idle while the server drains.
+    IdleLimit,
+    Room, // Idle while there are many connections.
+    Timeout, // The caller didn't take its answer in time.
+    Stopped, // The server closed all connections.
+};
+
+template <>
+inline constexpr EnumNameTable<CloseReason, 8> enumNames<CloseReason> { {
+    { CloseReason::CallerClosed, "caller_closed" },
+    { CloseReason::Broken, "broken" },
+    { CloseReason::FinalAnswer, "final_answer" },
+    { CloseReason::Leaving, "leaving" },
+    { CloseReason::IdleLimit, "idle_limit" },
+    { CloseReason::Room, "room" },
+    { CloseReason::Timeout, "timeout" },
+    { CloseReason::Stopped, "stopped" },
+} };
+
+/** How a connection ended, as the server knows it. */
+struct ConnectionEnd {
+    CloseReason reason = CloseReason::CallerClosed;
+    Duration idleTime {}; // Since the last activity, when the server decided to close.
+    bool hadUnreadInput = false; // At that moment.
+    std::size_t droppedBytes = 0; // Input that came or was read after it and was not handled.
+    Duration droppedAfter {}; // From the decision to the first of these bytes.
+};
+
 class ServerConnection;
 
 /** One request and the place for its answer. Answer it once; an answer after the caller has gone is dropped. */
@@ -66,9 +101,11 @@
     /** Closes the connection if a time limit has passed. Call it every 100 ms or so. */
     void checkTimeouts(Clock::time_point now);
     /** Ends the connection with the answer to its newest request, or now if it is idle for @p idleTime. */
-    void drain(Clock::time_point now, Duration idleTime);
+    void drain(Clock::time_point now, Duration idleTime, CloseReason);
     /** Closes at once; callers of open exchanges count as gone. */
-    void close();
+    void close(CloseReason);
+    /** Complete once the connection is closed. */
+    const ConnectionEnd& end() const noexcept { return m_end; }
     /** Open and without a request. */
     bool isIdle() const noexcept { return m_exchanges.empty() && !m_isReadingRequest && !m_isLingering; }
     /** When the last answer was written, or the connection was opened. */
@@ -80,7 +117,6 @@
 
     void read();
     void onRead(const boost::system::error_code&, std::size_t bytes);
-    bool hasCallerLeft();
     /** Parses what has been read; returns false if no more may be read for now. */
     bool parse();
     bool headerIsSound() const;
@@ -90,7 +126,10 @@
     void answered(HttpExchange&);
     void writeNext();
     void onWritten(const boost::system::error_code&);
-    void lingerAndClose();
+    void lingerAndClose(CloseReason);
+    /** Notes the first reason and what the socket holds at that moment. */
+    void noteEnd(CloseReason);
+    void noteDroppedInput(std::size_t bytes);
     void sendContinue();
     void noteExpectation();
     void abandonExchanges();
@@ -114,6 +153,8 @@
     bool m_isDraining = false;
     bool m_isLingering = false;
     bool m_isClosed = false;
+    std::optional<Clock::time_point> m_endDecided;
+    ConnectionEnd m_end;
 };
 
 }
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -54,10 +54,11 @@
 }
 
 HttpServer::HttpServer(asio::io_context& context, HttpServerLimits limits, std::size_t maximumConnections,
-    ServerConnection::RequestHandler onRequest)
+    ServerConnection::RequestHandler onRequest, EndHandler onEnd)
     : m_limits(limits)
     , m_maximumConnections(maximumConnections)
     , m_onRequest(std::move(onRequest))
+    , m_onEnd(std::move(onEnd))
     , m_acceptor(context)
     , m_sweepTimer(context)
 {
@@ -108,6 +109,9 @@
                 if (!*isAlive)
                     return;
                 m_connections.erase(&closed);
+                ++m_ended[closed.end().reason];
+                if (m_onEnd)
+                    m_onEnd(closed.end());
                 if (m_isAcceptPaused)
                     accept();
             });
@@ -139,7 +143,7 @@
     for (const auto& connection : connections) {
         connection->checkTimeouts(now);
         if (m_drainIdleTime)
-            connection->drain(now, *m_drainIdleTime);
+            connection->drain(now, *m_drainIdleTime, CloseReason::Leaving);
     }
     if (m_connections.size() > static_cast<std::size_t>(fullShare * static_cast<double>(m_maximumConnections)))
         closeIdlest(now);
@@ -159,7 +163,7 @@
         idle.begin(), idle.end(), [](const auto& a, const auto& b) { return a->lastActivity() < b->lastActivity(); });
     idle.resize(std::min(idle.size(), m_maximumConnections / closedPart));
     for (const auto& connection : idle)
-        connection->drain(now, shortestIdleTime);
+        connection->drain(now, shortestIdleTime, CloseReason::Room);
 }
 
 void HttpServer::drain(Duration idleTime)
@@ -179,7 +183,7 @@
     stopAccepting();
     while (!m_connections.empty()) {
         const auto connection = m_connections.begin()->second;
-        connection->close();
+        connection->close(CloseReason::Stopped);
         m_connections.erase(connection.get());
     }
 }
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -3,8 +3,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -69,29 +67,24 @@
     if (m_isClosed)
         return;
     if (ec) {
-        close();
+        close(ec == asio::error::eof ? CloseReason::CallerClosed : CloseReason::Broken);
         return;
     }
     if (m_isLingering || !m_acceptsRequests) {
+        noteDroppedInput(bytes);
         read();
         return;
     }
     m_buffer.commit(bytes);
     // After a delay, of the accept or of this process, the caller may have left already; its request is not to run.
-    if (hasCallerLeft()) {
-        close();
+    if (pendingInput(m_socket) == PendingInput::End) {
+        close(CloseReason::CallerClosed);
         return;
     }
     if (parse())
         read();
 }
 
-bool ServerConnection::hasCallerLeft()
-{
-    char byte = 0;
-    return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 bool ServerConnection::parse()
 {
     while (m_acceptsRequests && !m_isClosed) {
@@ -204,7 +197,7 @@
     static const std::string text = "HTTP/1.1 100 Continue\r\n\r\n";
     asio::async_write(m_socket, asio::buffer(text), [self = shared_from_this()](const error_code& ec, std::size_t) {
         if (ec)
-            self->close();
+            self->close(CloseReason::Broken);
     });
 }
 
@@ -246,7 +239,7 @@
     // A header alone ends with the error that says that the body has not been written.
     const bool isHeaderOnly = ec == http::error::end_of_stream;
     if (ec && !isHeaderOnly) {
-        close();
+        close(CloseReason::Broken);
         return;
     }
     const bool closes = m_exchanges.front()->m_closes;
@@ -256,7 +249,7 @@
     if (!m_isReadingRequest)
         m_lastActivity = Clock::now();
     if (closes) {
-        lingerAndClose();
+        lingerAndClose(CloseReason::FinalAnswer);
         return;
     }
     writeNext();
@@ -265,12 +258,31 @@
         read();
 }
 
-void ServerConnection::lingerAndClose()
+void ServerConnection::noteEnd(CloseReason reason)
+{
+    if (m_endDecided)
+        return;
+    const auto now = Clock::now();
+    m_endDecided = now;
+    m_end.reason = reason;
+    m_end.idleTime = std::chrono::duration_cast<Duration>(now - m_lastActivity);
+    m_end.hadUnreadInput = m_buffer.size() > 0 || pendingInput(m_socket) == PendingInput::Bytes;
+}
+
+void ServerConnection::noteDroppedInput(std::size_t bytes)
+{
+    if (m_endDecided && m_end.droppedBytes == 0)
+        m_end.droppedAfter = std::chrono::duration_cast<Duration>(Clock::now() - *m_endDecided);
+    m_end.droppedBytes += bytes;
+}
+
+void ServerConnection::lingerAndClose(CloseReason reason)
 {
+    noteEnd(reason);
     error_code ec;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     if (ec) {
-        close();
+        close(CloseReason::Broken);
         return;
     }
     m_isLingering = true;
@@ -287,25 +299,25 @@
     const auto passed = now - m_lastActivity;
     if (m_isLingering) {
         if (passed > lingerTime)
-            close();
+            close(m_end.reason);
     } else if (m_writing) {
         if (passed > writeTimeout)
-            close();
+            close(CloseReason::Timeout);
     } else if (m_isReadingRequest) {
         // A body may pause as long as a connection may be idle.
         const auto limit = m_isHeaderRead ? m_limits.headerTimeout + m_limits.idleTimeout : m_limits.headerTimeout;
         if (passed > limit)
             rejectInput(http::status::request_timeout);
     } else if (m_exchanges.empty() && passed > m_limits.idleTimeout) {
-        close();
+        close(CloseReason::IdleLimit);
     }
 }
 
-void ServerConnection::drain(Clock::time_point now, Duration idleTime)
+void ServerConnection::drain(Clock::time_point now, Duration idleTime, CloseReason reason)
 {
     m_isDraining = true;
     if (isIdle() && !m_isClosed && m_buffer.size() == 0 && now - m_lastActivity >= idleTime)
-        lingerAndClose();
+        lingerAndClose(reason);
 }
 
 void ServerConnection::abandonExchanges()
@@ -318,10 +330,11 @@
     }
 }
 
-void ServerConnection::close()
+void ServerConnection::close(CloseReason reason)
 {
     if (m_isClosed)
         return;
+    noteEnd(reason);
     m_isClosed = true;
     const auto self = shared_from_this();
     error_code ec;
