--- a/libs/http/tests/ServerConnectionTest.cpp
+++ b/libs/http/tests/ServerConnectionTest.cpp
@@ -1,104 +1,19 @@
 // Connections of callers on loopback sockets: order, limits, malformed input and callers that leave.
 
-#include "http/HttpServer.h"
-
-#include <boost/asio/connect.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
+#include "LoopbackCaller.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <chrono>
-#include <functional>
 #include <string>
 #include <vector>
 
 using namespace peridot;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
-using boost::system::error_code;
 
 namespace {
 
-HttpResponse ok(const std::string& body)
-{
-    HttpResponse response(http::status::ok, 11);
-    response.body() = body;
-    response.prepare_payload();
-    return response;
-}
-
-/** A server with a handler of the test's choice, and a caller that sends raw bytes. */
-class Loopback {
-public:
-    explicit Loopback(HttpServerLimits limits = {}, std::size_t connections = 100)
-        : server(context, limits, connections,
-            [this](const std::shared_ptr<HttpExchange>& exchange) {
-                exchanges.push_back(exchange);
-                exchange->onCallerGone = [this] { ++gone; };
-                if (answersAtOnce)
-                    exchange->respond(ok(std::string(exchange->request.target())));
-            })
-        , caller(context)
-    {
-        CPPUNIT_ASSERT(server.listen("127.0.0.1:0"));
-        connect();
-    }
-
-    void connect()
-    {
-        caller = asio::ip::tcp::socket(context);
-        caller.connect({ asio::ip::make_address("127.0.0.1"), server.port() });
-        caller.non_blocking(true);
-    }
-
-    void send(const std::string& bytes) { asio::write(caller, asio::buffer(bytes)); }
-
-    void run(std::chrono::milliseconds time) { context.run_for(time); }
-
-    /** Runs until the caller has received @p text or the connection has ended. */
-    bool receives(const std::string& text, std::chrono::milliseconds limit = 2s)
-    {
-        return runUntil([&] { return received.find(text) != std::string::npos; }, limit);
-    }
-
-    bool ends(std::chrono::milliseconds limit = 2s)
-    {
-        return runUntil([&] { return hasEnded; }, limit);
-    }
-
-    asio::io_context context;
-    std::vector<std::shared_ptr<HttpExchange>> exchanges;
-    bool answersAtOnce = true;
-    int gone = 0;
-    HttpServer server;
-    asio::ip::tcp::socket caller;
-    std::string received;
-    bool hasEnded = false;
-
-private:
-    bool runUntil(const std::function<bool()>& isDone, std::chrono::milliseconds limit)
-    {
-        const auto end = std::chrono::steady_clock::now() + limit;
-        while (!isDone() && std::chrono::steady_clock::now() < end) {
-            context.run_for(5ms);
-            char buf[4096];
-            error_code ec;
-            const auto n = caller.read_some(asio::buffer(buf), ec);
-            received.append(buf, n);
-            hasEnded = hasEnded || (ec && ec != asio::error::would_block);
-        }
-        return isDone();
-    }
-};
-
-std::string get(const std::string& path, const std::string& headers = {})
-{
-    return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n";
-}
-
 std::size_t count(const std::string& text, const std::string& part)
 {
     std::size_t n = 0;
