http, platform: answers end the connections of a leaving instance, idle ones stay open

Only an answer can tell a caller to send no more on a connection, so the drain now ends connections with their answers and no other way.

Connections that are closed to make room are no longer half-closed and drained of input either: they are closed if their socket holds none, and later input resets them.

The drain has no idle time any more, which changes the calls in the tests and nothing that they check. idleConnectionThatIsClosedLeavesLaterInputUnread is new.

--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -37,8 +37,11 @@
     std::uint16_t port() const;
     /** Applies to open connections as well. */
     void setLimits(const HttpServerLimits&);
-    /** Answers end their connections from now on; connections without a request end after @p idleTime. */
-    void drain(Duration idleTime);
+    /** Answers end their connections from now on. Connections without a request stay open: one may be on its way, and
+     *  only an answer tells the caller to send no more. */
+    void drain();
+    /** Whether no connection has had a request, also in what its socket holds, for @p idleTime. */
+    bool isQuiet(Duration idleTime) const;
     /** Closes the listening socket; open connections go on. */
     void stopAccepting();
     void closeAll();
@@ -60,7 +63,7 @@
     boost::asio::steady_timer m_sweepTimer;
     std::map<ServerConnection*, std::shared_ptr<ServerConnection>> m_connections;
     std::map<CloseReason, std::uint64_t> m_ended;
-    std::optional<Duration> m_drainIdleTime;
+    bool m_isDraining = false;
     bool m_isAcceptPaused = false; // The limit of connections is reached.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/libs/http/include/http/ServerConnection.h
+++ b/libs/http/include/http/ServerConnection.h
@@ -100,14 +100,16 @@
     void start();
     /** Closes the connection if a time limit has passed. Call it every 100 ms or so. */
     void checkTimeouts(Clock::time_point now);
-    /** Ends the connection with the answer to its newest request, or now if it is idle for @p idleTime. */
-    void drain(Clock::time_point now, Duration idleTime, CloseReason);
+    /** The answer to the newest request ends the connection from now on. */
+    void drain() noexcept { m_isDraining = true; }
+    /** Closes the connection if nothing happens on it. */
+    void closeIfIdle(CloseReason);
     /** Closes at once; callers of open exchanges count as gone. */
     void close(CloseReason);
     /** Complete once the connection is closed. */
     const ConnectionEnd& end() const noexcept { return m_end; }
-    /** Open and without a request. */
-    bool isIdle() const noexcept { return m_exchanges.empty() && !m_isReadingRequest && !m_isLingering; }
+    /** Without a request, also in what the socket holds, and not about to end. A request may still be on its way. */
+    bool isIdle();
     /** When the last answer was written, or the connection was opened. */
     Clock::time_point lastActivity() const noexcept { return m_lastActivity; }
 
@@ -126,7 +128,7 @@
     void answered(HttpExchange&);
     void writeNext();
     void onWritten(const boost::system::error_code&);
-    void lingerAndClose(CloseReason);
+    void lingerAndClose();
     /** Notes the first reason and what the socket holds at that moment. */
     void noteEnd(CloseReason);
     void noteDroppedInput(std::size_t bytes);
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -116,6 +116,8 @@
                     accept();
             });
         m_connections.emplace(connection.get(), connection);
+        if (m_isDraining)
+            connection->drain();
         connection->start();
         accept();
     });
@@ -140,11 +142,8 @@
     for (const auto& [key, connection] : m_connections)
         connections.push_back(connection);
     const auto now = ServerConnection::Clock::now();
-    for (const auto& connection : connections) {
+    for (const auto& connection : connections)
         connection->checkTimeouts(now);
-        if (m_drainIdleTime)
-            connection->drain(now, *m_drainIdleTime, CloseReason::Leaving);
-    }
     if (m_connections.size() > static_cast<std::size_t>(fullShare * static_cast<double>(m_maximumConnections)))
         closeIdlest(now);
     if (m_isAcceptPaused)
@@ -156,20 +155,28 @@
 {
     std::vector<std::shared_ptr<ServerConnection>> idle;
     for (const auto& [key, connection] : m_connections) {
-        if (connection->isIdle() && now - connection->lastActivity() > shortestIdleTime)
+        if (now - connection->lastActivity() > shortestIdleTime && connection->isIdle())
             idle.push_back(connection);
     }
     std::sort(
         idle.begin(), idle.end(), [](const auto& a, const auto& b) { return a->lastActivity() < b->lastActivity(); });
     idle.resize(std::min(idle.size(), m_maximumConnections / closedPart));
     for (const auto& connection : idle)
-        connection->drain(now, shortestIdleTime, CloseReason::Room);
+        connection->closeIfIdle(CloseReason::Room);
+}
+
+void HttpServer::drain()
+{
+    m_isDraining = true;
+    for (const auto& [key, connection] : m_connections)
+        connection->drain();
 }
 
-void HttpServer::drain(Duration idleTime)
+bool HttpServer::isQuiet(Duration idleTime) const
 {
-    m_drainIdleTime = idleTime;
-    sweep();
+    const auto now = ServerConnection::Clock::now();
+    return std::all_of(m_connections.begin(), m_connections.end(),
+        [&](const auto& it) { return now - it.second->lastActivity() >= idleTime && it.second->isIdle(); });
 }
 
 void HttpServer::stopAccepting()
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -249,7 +249,7 @@
     if (!m_isReadingRequest)
         m_lastActivity = Clock::now();
     if (closes) {
-        lingerAndClose(CloseReason::FinalAnswer);
+        lingerAndClose();
         return;
     }
     writeNext();
@@ -276,9 +276,9 @@
     m_end.droppedBytes += bytes;
 }
 
-void ServerConnection::lingerAndClose(CloseReason reason)
+void ServerConnection::lingerAndClose()
 {
-    noteEnd(reason);
+    noteEnd(CloseReason::FinalAnswer);
     error_code ec;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     if (ec) {
@@ -313,11 +313,17 @@
     }
 }
 
-void ServerConnection::drain(Clock::time_point now, Duration idleTime, CloseReason reason)
+bool ServerConnection::isIdle()
+{
+    return !m_isClosed && !m_isLingering && !m_isReadingRequest && m_exchanges.empty() && m_buffer.size() == 0
+        && pendingInput(m_socket) == PendingInput::None;
+}
+
+/** Input that comes later is not read, and resets the connection, so that it can't be taken for handled. */
+void ServerConnection::closeIfIdle(CloseReason reason)
 {
-    m_isDraining = true;
-    if (isIdle() && !m_isClosed && m_buffer.size() == 0 && now - m_lastActivity >= idleTime)
-        lingerAndClose(reason);
+    if (isIdle())
+        close(reason);
 }
 
 void ServerConnection::abandonExchanges()
--- a/libs/http/tests/ConnectionEndTest.cpp
+++ b/libs/http/tests/ConnectionEndTest.cpp
@@ -9,6 +9,7 @@
 
 using namespace peridot;
 using namespace std::chrono_literals;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -23,14 +24,13 @@
     }
 };
 
-constexpr auto drainIdleTime = 300ms;
-
 }
 
 class ConnectionEndTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ConnectionEndTest);
     CPPUNIT_TEST(requestOnItsWayToADrainingServerIsAnswered);
     CPPUNIT_TEST(unreadRequestAtADrainingServerIsAnswered);
+    CPPUNIT_TEST(idleConnectionThatIsClosedLeavesLaterInputUnread);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -39,7 +39,7 @@
     void requestOnItsWayToADrainingServerIsAnswered()
     {
         IdleCaller caller;
-        caller.server.drain(drainIdleTime);
+        caller.server.drain();
         caller.run(100ms);
         caller.send(get("/second"));
         CPPUNIT_ASSERT(caller.receives("/second"));
@@ -54,11 +54,33 @@
         IdleCaller caller;
         caller.send(get("/second"));
         std::this_thread::sleep_for(450ms);
-        caller.server.drain(drainIdleTime);
+        caller.server.drain();
         CPPUNIT_ASSERT(caller.receives("/second"));
         CPPUNIT_ASSERT(caller.received.find("Connection: close") != std::string::npos);
         CPPUNIT_ASSERT(caller.ends());
     }
+
+    /** Input that was read and dropped after the close of an idle connection could not be told from a request that had
+     *  begun to run. */
+    void idleConnectionThatIsClosedLeavesLaterInputUnread()
+    {
+        Loopback loopback({}, 10);
+        std::vector<asio::ip::tcp::socket> others;
+        for (int i = 0; i < 8; ++i) {
+            others.emplace_back(loopback.context);
+            others.back().connect({ asio::ip::make_address("127.0.0.1"), loopback.server.port() });
+        }
+        while (loopback.server.endedConnections().empty())
+            loopback.run(10ms);
+        CPPUNIT_ASSERT(loopback.server.endedConnections().contains(CloseReason::Room));
+        loopback.send(get("/late"));
+        loopback.run(100ms);
+        // The reset tells the caller's kernel that nobody has read the request.
+        boost::system::error_code ec;
+        asio::write(loopback.caller, asio::buffer("x", 1), ec);
+        CPPUNIT_ASSERT(ec);
+        CPPUNIT_ASSERT(loopback.exchanges.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionEndTest);
--- a/libs/http/tests/ServerConnectionTest.cpp
+++ b/libs/http/tests/ServerConnectionTest.cpp
@@ -196,7 +196,7 @@
         loopback.answersAtOnce = false;
         loopback.send(get("/1"));
         loopback.run(50ms);
-        loopback.server.drain(100ms);
+        loopback.server.drain();
         CPPUNIT_ASSERT(!loopback.ends(400ms));
         loopback.exchanges[0]->respond(ok("whole"));
         CPPUNIT_ASSERT(loopback.ends());
