http: a connection with unread input is not closed at its idle limit

A process that did not run for a while learns of its connections' input in several polls of the kernel and meets its time limits between them. Connections whose next request waited in the socket were closed at their idle limit, the request with them. The look into the socket that decides whether a connection is idle now decides here as well.

lateProcessClosesNoConnectionWithARequestAtItsIdleLimit: 127 of 300 requests handled before, all now.

--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -308,8 +308,8 @@
         const auto limit = m_isHeaderRead ? m_limits.headerTimeout + m_limits.idleTimeout : m_limits.headerTimeout;
         if (passed > limit)
             rejectInput(http::status::request_timeout);
-    } else if (m_exchanges.empty() && passed > m_limits.idleTimeout) {
-        close(CloseReason::IdleLimit);
+    } else if (passed > m_limits.idleTimeout) {
+        closeIfIdle(CloseReason::IdleLimit);
     }
 }
 
--- a/libs/http/tests/ConnectionEndTest.cpp
+++ b/libs/http/tests/ConnectionEndTest.cpp
@@ -24,12 +24,49 @@
     }
 };
 
+/** More connections than one poll of the kernel reports events for, and a timer that is due at each poll. */
+struct ManyCallers {
+    explicit ManyCallers(const HttpServerLimits& limits)
+        : loopback(limits, 1'000)
+        , timer(loopback.context)
+    {
+        tick();
+        for (int i = 0; i < 300; ++i) {
+            sockets.emplace_back(loopback.context);
+            sockets.back().connect({ asio::ip::make_address("127.0.0.1"), loopback.server.port() });
+        }
+        loopback.run(50ms);
+        CPPUNIT_ASSERT_EQUAL(sockets.size() + 1, loopback.server.connectionCount());
+    }
+
+    void send(const std::string& bytes)
+    {
+        std::this_thread::sleep_for(30ms); // The timer is due before the input comes.
+        for (auto& socket : sockets)
+            asio::write(socket, asio::buffer(bytes));
+    }
+
+    void tick()
+    {
+        timer.expires_after(10ms);
+        timer.async_wait([this](const boost::system::error_code& ec) {
+            if (!ec)
+                tick();
+        });
+    }
+
+    Loopback loopback;
+    asio::steady_timer timer;
+    std::vector<asio::ip::tcp::socket> sockets;
+};
+
 }
 
 class ConnectionEndTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ConnectionEndTest);
     CPPUNIT_TEST(requestOnItsWayToADrainingServerIsAnswered);
     CPPUNIT_TEST(unreadRequestAtADrainingServerIsAnswered);
+    CPPUNIT_TEST(lateProcessClosesNoConnectionWithARequestAtItsIdleLimit);
     CPPUNIT_TEST(idleConnectionThatIsClosedLeavesLaterInputUnread);
     CPPUNIT_TEST_SUITE_END();
 
@@ -60,6 +97,19 @@
         CPPUNIT_ASSERT(caller.ends());
     }
 
+    /** A process that did not run for a while learns of more connections with input than one poll of the kernel
+     * returns, and met its time limits before the rest. */
+    void lateProcessClosesNoConnectionWithARequestAtItsIdleLimit()
+    {
+        HttpServerLimits limits;
+        limits.idleTimeout = 300ms;
+        ManyCallers callers(limits);
+        callers.send(get("/"));
+        std::this_thread::sleep_for(500ms);
+        callers.loopback.run(300ms);
+        CPPUNIT_ASSERT_EQUAL(callers.sockets.size(), callers.loopback.exchanges.size());
+    }
+
     /** Input that was read and dropped after the close of an idle connection could not be told from a request that had
      *  begun to run. */
     void idleConnectionThatIsClosedLeavesLaterInputUnread()
