http: a header that has arrived in time is not rejected by a late process

As at the idle limit, a process that runs late met the limit on the time of a header before the rest of the header that waited in its sockets, and answered 408. Input that waits is read first; the limit holds at the next check.

--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -306,7 +306,8 @@
     } else if (m_isReadingRequest) {
         // A body may pause as long as a connection may be idle.
         const auto limit = m_isHeaderRead ? m_limits.headerTimeout + m_limits.idleTimeout : m_limits.headerTimeout;
-        if (passed > limit)
+        // A process that runs late meets its limits before input that came in time.
+        if (passed > limit && pendingInput(m_socket) != PendingInput::Bytes)
             rejectInput(http::status::request_timeout);
     } else if (passed > m_limits.idleTimeout) {
         closeIfIdle(CloseReason::IdleLimit);
--- a/libs/http/tests/ConnectionEndTest.cpp
+++ b/libs/http/tests/ConnectionEndTest.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(requestOnItsWayToADrainingServerIsAnswered);
     CPPUNIT_TEST(unreadRequestAtADrainingServerIsAnswered);
     CPPUNIT_TEST(lateProcessClosesNoConnectionWithARequestAtItsIdleLimit);
+    CPPUNIT_TEST(lateProcessRejectsNoHeaderThatHasArrived);
     CPPUNIT_TEST(idleConnectionThatIsClosedLeavesLaterInputUnread);
     CPPUNIT_TEST_SUITE_END();
 
@@ -110,6 +111,21 @@
         CPPUNIT_ASSERT_EQUAL(callers.sockets.size(), callers.loopback.exchanges.size());
     }
 
+    /** As before, with requests whose header had begun. */
+    void lateProcessRejectsNoHeaderThatHasArrived()
+    {
+        HttpServerLimits limits;
+        limits.headerTimeout = 300ms;
+        ManyCallers callers(limits);
+        const auto request = get("/");
+        callers.send(request.substr(0, 10));
+        callers.loopback.run(50ms);
+        callers.send(request.substr(10));
+        std::this_thread::sleep_for(500ms);
+        callers.loopback.run(300ms);
+        CPPUNIT_ASSERT_EQUAL(callers.sockets.size(), callers.loopback.exchanges.size());
+    }
+
     /** Input that was read and dropped after the close of an idle connection could not be told from a request that had
      *  begun to run. */
     void idleConnectionThatIsClosedLeavesLaterInputUnread()
