http: a shorter idle limit spares connections that are idle already

A configuration that shortens the idle limit closed at once all connections that had been idle for longer, while their callers relied on the limit that they knew and could be sending. The limit at the moment when a connection becomes idle now holds until its next request; a longer one holds at once.

shorterIdleLimitSparesConnectionsThatAreIdle failed before.

--- a/libs/http/include/http/ServerConnection.h
+++ b/libs/http/include/http/ServerConnection.h
@@ -146,6 +146,8 @@
     std::optional<HttpResponse> m_writing; // The answer to m_exchanges.front() while it is written.
     std::unique_ptr<boost::beast::http::response_serializer<boost::beast::http::string_body>> m_serializer;
     Clock::time_point m_lastActivity; // Start of the request head that is being read, or end of the last answer.
+    // The limit when the connection became idle. The caller may rely on it if a later configuration has a shorter one.
+    Duration m_idleTimeout;
     bool m_isReadingRequest = false; // Part of a request has been read.
     bool m_isRequestLineRead = false; // The parser has taken it; the rest of the head is still in the buffer.
     bool m_isHeaderRead = false;
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -40,6 +40,7 @@
     , m_onRequest(std::move(onRequest))
     , m_onClosed(std::move(onClosed))
     , m_lastActivity(Clock::now())
+    , m_idleTimeout(limits.idleTimeout)
 {
 }
 
@@ -248,6 +249,7 @@
     m_exchanges.pop_front();
     if (!m_isReadingRequest)
         m_lastActivity = Clock::now();
+    m_idleTimeout = m_limits.idleTimeout;
     if (closes) {
         lingerAndClose();
         return;
@@ -309,7 +311,7 @@
         // A process that runs late meets its limits before input that came in time.
         if (passed > limit && pendingInput(m_socket) != PendingInput::Bytes)
             rejectInput(http::status::request_timeout);
-    } else if (passed > m_limits.idleTimeout) {
+    } else if (passed > std::max(m_idleTimeout, m_limits.idleTimeout)) {
         closeIfIdle(CloseReason::IdleLimit);
     }
 }
--- a/libs/http/tests/ConnectionEndTest.cpp
+++ b/libs/http/tests/ConnectionEndTest.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(unreadRequestAtADrainingServerIsAnswered);
     CPPUNIT_TEST(lateProcessClosesNoConnectionWithARequestAtItsIdleLimit);
     CPPUNIT_TEST(lateProcessRejectsNoHeaderThatHasArrived);
+    CPPUNIT_TEST(shorterIdleLimitSparesConnectionsThatAreIdle);
     CPPUNIT_TEST(idleConnectionThatIsClosedLeavesLaterInputUnread);
     CPPUNIT_TEST_SUITE_END();
 
@@ -126,6 +127,25 @@
         CPPUNIT_ASSERT_EQUAL(callers.sockets.size(), callers.loopback.exchanges.size());
     }
 
+    /** Callers reuse connections for as long as the limit allows that they knew when they last used them. A shorter
+     *  limit of a new configuration closed these connections at once. */
+    void shorterIdleLimitSparesConnectionsThatAreIdle()
+    {
+        HttpServerLimits limits;
+        limits.idleTimeout = 2s;
+        Loopback caller(limits);
+        caller.send(get("/first"));
+        CPPUNIT_ASSERT(caller.receives("/first"));
+        caller.run(500ms);
+        limits.idleTimeout = 300ms;
+        caller.server.setLimits(limits);
+        CPPUNIT_ASSERT(!caller.ends(600ms));
+        caller.send(get("/second"));
+        CPPUNIT_ASSERT(caller.receives("/second"));
+        caller.run(100ms);
+        CPPUNIT_ASSERT(caller.ends(1s));
+    }
+
     /** Input that was read and dropped after the close of an idle connection could not be told from a request that had
      *  begun to run. */
     void idleConnectionThatIsClosedLeavesLaterInputUnread()
