http, platform: connections that wait to be accepted are served before a listener closes

A process that stops listening reset the connections that the kernel had accepted and the process had not, with the requests on them.

--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -42,8 +42,9 @@
     void drain();
     /** Whether no connection has had a request, also in what its socket holds, for @p idleTime. */
     bool isQuiet(Duration idleTime) const;
-    /** Closes the listening socket; open connections go on. */
+    /** Closes the listening socket; open connections go on, those included that wait to be accepted. */
     void stopAccepting();
+    bool isAccepting() const noexcept { return m_acceptor.is_open(); }
     void closeAll();
     std::size_t connectionCount() const noexcept { return m_connections.size(); }
     /** Connections that have ended, by reason. */
@@ -51,6 +52,7 @@
 
 private:
     void accept();
+    void open(boost::asio::ip::tcp::socket);
     void scheduleSweep();
     void sweep();
     void closeIdlest(ServerConnection::Clock::time_point now);
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -104,25 +104,30 @@
             m_isAcceptPaused = true;
             return;
         }
-        auto connection = std::make_shared<ServerConnection>(
-            std::move(socket), m_limits, m_onRequest, [this, isAlive](ServerConnection& closed) {
-                if (!*isAlive)
-                    return;
-                m_connections.erase(&closed);
-                ++m_ended[closed.end().reason];
-                if (m_onEnd)
-                    m_onEnd(closed.end());
-                if (m_isAcceptPaused)
-                    accept();
-            });
-        m_connections.emplace(connection.get(), connection);
-        if (m_isDraining)
-            connection->drain();
-        connection->start();
+        open(std::move(socket));
         accept();
     });
 }
 
+void HttpServer::open(asio::ip::tcp::socket socket)
+{
+    auto connection = std::make_shared<ServerConnection>(
+        std::move(socket), m_limits, m_onRequest, [this, isAlive = m_isAlive](ServerConnection& closed) {
+            if (!*isAlive)
+                return;
+            m_connections.erase(&closed);
+            ++m_ended[closed.end().reason];
+            if (m_onEnd)
+                m_onEnd(closed.end());
+            if (m_isAcceptPaused)
+                accept();
+        });
+    m_connections.emplace(connection.get(), connection);
+    if (m_isDraining)
+        connection->drain();
+    connection->start();
+}
+
 void HttpServer::scheduleSweep()
 {
     m_sweepTimer.expires_after(sweepInterval);
@@ -181,13 +186,23 @@
 
 void HttpServer::stopAccepting()
 {
+    if (!m_acceptor.is_open())
+        return;
+    // The kernel has accepted connections that closing the listener would reset, with the requests on them.
     error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec && m_connections.size() < m_maximumConnections) {
+        auto socket = m_acceptor.accept(ec);
+        if (!ec)
+            open(std::move(socket));
+    }
     m_acceptor.close(ec); // The descriptor is released whatever the result.
 }
 
 void HttpServer::closeAll()
 {
-    stopAccepting();
+    error_code ec;
+    m_acceptor.close(ec); // The descriptor is released whatever the result.
     while (!m_connections.empty()) {
         const auto connection = m_connections.begin()->second;
         connection->close(CloseReason::Stopped);
--- a/libs/http/tests/ConnectionEndTest.cpp
+++ b/libs/http/tests/ConnectionEndTest.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST_SUITE(ConnectionEndTest);
     CPPUNIT_TEST(requestOnItsWayToADrainingServerIsAnswered);
     CPPUNIT_TEST(unreadRequestAtADrainingServerIsAnswered);
+    CPPUNIT_TEST(requestOfAConnectionThatWaitsToBeAcceptedIsAnswered);
     CPPUNIT_TEST(lateProcessClosesNoConnectionWithARequestAtItsIdleLimit);
     CPPUNIT_TEST(lateProcessRejectsNoHeaderThatHasArrived);
     CPPUNIT_TEST(shorterIdleLimitSparesConnectionsThatAreIdle);
@@ -99,6 +100,22 @@
         CPPUNIT_ASSERT(caller.ends());
     }
 
+    /** Load pattern: callers with an old lookup open connections until an instance with little processor time stops
+     *  listening. The kernel had accepted them, the process had not, and closing the listener reset them. */
+    void requestOfAConnectionThatWaitsToBeAcceptedIsAnswered()
+    {
+        Loopback caller;
+        std::vector<asio::ip::tcp::socket> others;
+        for (int i = 0; i < 20; ++i) {
+            others.emplace_back(caller.context);
+            others.back().connect({ asio::ip::make_address("127.0.0.1"), caller.server.port() });
+        }
+        caller.connect();
+        caller.send(get("/last"));
+        caller.server.stopAccepting();
+        CPPUNIT_ASSERT(caller.receives("/last"));
+    }
+
     /** A process that did not run for a while learns of more connections with input than one poll of the kernel
      * returns, and met its time limits before the rest. */
     void lateProcessClosesNoConnectionWithARequestAtItsIdleLimit()
