steering, platform: a leaving instance answers its open requests before it ends

Requests that were queued when the process of a leaving instance ended, or that ran at a server, got no answer: the callers saw their connections close.

A request that is not running is rejected as not run once it could not be answered before, so that another instance can serve it, and a failed send is not repeated then. One that is still running at the end is answered as timed out. The new cases of TrafficSteeringTest describe all three; they use a new function and can't be run on the code before.

--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -282,6 +282,9 @@
     SteeringActions finished(RequestHandle, const SendReport&, TimePoint now);
     /** Ends a request whose caller has closed its connection. A running send is cancelled. */
     SteeringActions callerDisconnected(RequestHandle, TimePoint now);
+    /** This instance answers nothing after @p end. A request that is not running is rejected, for another instance to
+     *  serve, once it could not be answered before; one that is running is answered at @p end. */
+    void endAt(TimePoint end) noexcept { m_end = end; }
     /** Ends requests past their deadline and sends queued ones. Call it about every 20 ms while requests are open. */
     SteeringActions tick(TimePoint now);
 
@@ -315,8 +318,8 @@
      *  sent any more. */
     std::optional<RejectReason> followConfiguration(Request&) const;
     /** Returns a reason if the request, which is not running, must not be sent: the configuration in force does not
-     *  admit it, or it ends servers. */
-    std::optional<RejectReason> reasonNotToSend(Request&) const;
+     *  admit it, it ends servers, or it would not be answered before this instance ends. */
+    std::optional<RejectReason> reasonNotToSend(Request&, TimePoint now) const;
     /** Region to which the home regions of the route or the workspace bind the request; null if there are several. */
     static const RegionId* homeRegion(const Request&);
     static bool isLate(const Request&, TimePoint now);
@@ -371,6 +374,7 @@
     std::map<InstanceId, TimePoint> m_unableUntil; // Instances that could not take a request that was passed to them.
     std::size_t m_localInstances = 1; // Live ones in the own region.
     std::shared_ptr<const RateDivision> m_division; // Among m_instances.
+    std::optional<TimePoint> m_end; // See endAt().
     KnowledgeGuard m_knowledge;
     std::shared_ptr<const RouteTable> m_routes;
     LateAttemptDetector m_lateAttempts;
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -373,12 +373,14 @@
     return std::nullopt;
 }
 
-std::optional<RejectReason> TrafficSteering::reasonNotToSend(Request& request) const
+std::optional<RejectReason> TrafficSteering::reasonNotToSend(Request& request, TimePoint now) const
 {
     if (const auto reason = followConfiguration(request))
         return reason;
     if (m_crashes.isIsolated(request.content))
         return RejectReason::EndsServers;
+    if (m_end && now + Duration { static_cast<Duration::rep>(workTimes(request.route()).warm) } > *m_end)
+        return RejectReason::Leaving;
     return std::nullopt;
 }
 
@@ -659,7 +661,7 @@
         reject(request, RejectReason::Unconfirmed, m_options.minimumRetryAfter, now, actions);
         return;
     }
-    if (const auto reason = reasonNotToSend(request)) {
+    if (const auto reason = reasonNotToSend(request, now)) {
         reject(request, *reason, {}, now, actions);
         return;
     }
@@ -762,7 +764,7 @@
         return;
     std::vector<std::pair<Request*, RejectReason>> refused;
     for (auto* request : service.queue) {
-        if (const auto reason = reasonNotToSend(*request))
+        if (const auto reason = reasonNotToSend(*request, now))
             refused.emplace_back(request, *reason);
     }
     for (const auto& [request, reason] : refused)
@@ -980,7 +982,7 @@
 
 void TrafficSteering::retryOrEnd(Request& request, const SendReport& report, TimePoint now, SteeringActions& actions)
 {
-    const auto refusal = reasonNotToSend(request);
+    const auto refusal = reasonNotToSend(request, now);
     const bool mayRunAgain = !refusal && request.mayRunAgain();
     const bool hasTime = now + request.expectedWork < request.answerDeadline;
     // The server has received nothing.
@@ -1119,8 +1121,9 @@
     m_knowledge.eventBegins(now);
     std::vector<Request*> ended;
     std::set<BackendServerId> silent;
+    const bool hasEnded = m_end && *m_end <= now;
     for (const auto& [handle, request] : m_requests) {
-        if (request->answerDeadline <= now)
+        if (hasEnded || request->answerDeadline <= now)
             ended.push_back(request.get());
         if (request->runningAt && now - request->sentAt >= m_reach.silence() && silent.size() < 2)
             silent.insert(*request->runningAt);
@@ -1141,7 +1144,8 @@
             recordSendResult(*request, { DispatchResult::Cancelled, {}, {}, {} }, now);
             reject(*request, RejectReason::TimedOut, {}, now, actions);
         } else {
-            reject(*request, RejectReason::Expired, m_options.minimumRetryAfter, now, actions);
+            reject(*request, hasEnded ? RejectReason::Leaving : RejectReason::Expired, m_options.minimumRetryAfter, now,
+                actions);
         }
     }
     for (const auto& [id, service] : m_services) {
--- a/libs/steering/tests/TrafficSteeringTest.cpp
+++ b/libs/steering/tests/TrafficSteeringTest.cpp
@@ -43,6 +43,9 @@
     CPPUNIT_TEST(changedBoundsApplyImmediately);
     CPPUNIT_TEST(serverErrorReachesTheCaller);
     CPPUNIT_TEST(answersAtTheRouteTimeout);
+    CPPUNIT_TEST(queuedRequestsAreRejectedBeforeTheInstanceEnds);
+    CPPUNIT_TEST(runningRequestsAreAnsweredBeforeTheInstanceEnds);
+    CPPUNIT_TEST(failedSendIsNotRepeatedTooLateForTheInstance);
     CPPUNIT_TEST(callerDisconnectCancelsTheRunningSend);
     CPPUNIT_TEST(splitFollowsItsWeights);
     CPPUNIT_TEST(overloadIsRejectedImmediately);
@@ -236,6 +239,52 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, steering->openRequests());
     }
 
+    /** Load pattern: an instance leaves while its queue is long. Requests that were still queued when the process
+     *  ended got no answer. */
+    void queuedRequestsAreRejectedBeforeTheInstanceEnds()
+    {
+        auto steering = ready(1, 1);
+        steering->begin(1, request("/lookup/x"), start);
+        steering->begin(2, request("/lookup/x"), start);
+        CPPUNIT_ASSERT(steering->begin(3, request("/lookup/x"), start).empty());
+        steering->endAt(start + 300ms);
+        CPPUNIT_ASSERT(steering->tick(start + 20ms).empty());
+        std::optional<RejectRequest> rejected;
+        for (auto now = start + 40ms; !rejected && now < start + 300ms; now += 20ms) {
+            for (const auto& action : steering->tick(now)) {
+                if (const auto* reject = std::get_if<RejectRequest>(&action))
+                    rejected = *reject;
+            }
+        }
+        CPPUNIT_ASSERT(rejected && rejected->request == 3);
+        CPPUNIT_ASSERT(rejected->reason == RejectReason::Leaving && rejected->retryAfter > 0ms);
+    }
+
+    /** The callers of requests that run when the process ends got no answer. */
+    void runningRequestsAreAnsweredBeforeTheInstanceEnds()
+    {
+        auto steering = ready(1, 4);
+        steering->begin(1, request("/book/x"), start);
+        steering->endAt(start + 300ms);
+        CPPUNIT_ASSERT(steering->tick(start + 290ms).empty());
+        const auto actions = steering->tick(start + 300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, actions.size());
+        CPPUNIT_ASSERT(std::get_if<CancelSend>(&actions[0]));
+        CPPUNIT_ASSERT(std::get<RejectRequest>(actions[1]).reason == RejectReason::TimedOut);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, steering->openRequests());
+    }
+
+    /** A send that fails shortly before the process ends was repeated, and then cut. */
+    void failedSendIsNotRepeatedTooLateForTheInstance()
+    {
+        auto steering = ready(2, 4);
+        steering->endAt(start + 400ms);
+        CPPUNIT_ASSERT(only<SendToServer>(steering->begin(1, request("/book/x"), start)));
+        const auto actions = steering->finished(1, report(DispatchResult::Shed), start + 390ms);
+        const auto* reject = only<RejectRequest>(actions);
+        CPPUNIT_ASSERT(reject && reject->reason == RejectReason::Leaving);
+    }
+
     void callerDisconnectCancelsTheRunningSend()
     {
         auto steering = ready(1, 1);
