tests, http, entry, platform: show that a response cut at any byte reaches no caller

The way back to the caller: every response of the gateway states its length or has a status without a body, and a server that ends while it writes leaves less than it announced, and not the answers behind.

--- a/cmake/Peridot.cmake
+++ b/cmake/Peridot.cmake
@@ -13,6 +13,7 @@
   endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;LABELS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/tests/support/CppUnitMain.cpp)
+  target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} PkgConfig::CPPUNIT)
   add_test(NAME ${name} COMMAND ${name})
   # Ends a test that hangs; sanitizer builds on a busy machine are up to 20 times slower.
--- /dev/null
+++ b/libs/http/tests/BrokenResponseTest.cpp
@@ -0,0 +1,145 @@
+// Responses that break off or are framed ambiguously, of servers and to callers: none may be taken for a whole one.
+
+#include "LoopbackCaller.h"
+#include "support/CutResponses.h"
+
+#include "http/ClientConnection.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace peridot;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/** A connection with one open request, and the server's end of it. */
+class OpenRequest {
+public:
+    OpenRequest(asio::io_context& context, asio::ip::tcp::acceptor& acceptor,
+        HttpRequest request = HttpRequest(http::verb::get, "/", 11), const ClientConnectionOptions& options = {})
+        : m_context(context)
+        , m_connection(
+              std::make_shared<ClientConnection>(context, acceptor.local_endpoint(), options, nullptr, nullptr))
+        , server(context)
+    {
+        m_connection->send(std::move(request), nullptr, [this](ExchangeResult it) { result = std::move(it); });
+        acceptor.accept(server);
+        runReady();
+    }
+
+    ~OpenRequest()
+    {
+        m_connection->close();
+        runReady();
+    }
+
+    /** Reads the request, so that closing the socket doesn't reset the connection. */
+    void readRequest()
+    {
+        runUntil([this] { return server.available() > 0; });
+        std::string head;
+        asio::read_until(server, asio::dynamic_buffer(head), "\r\n\r\n");
+    }
+
+    void send(const std::string& bytes) { asio::write(server, asio::buffer(bytes)); }
+
+    void runReady()
+    {
+        m_context.restart();
+        m_context.poll();
+    }
+
+    bool runUntil(const std::function<bool()>& isDone)
+    {
+        const auto end = std::chrono::steady_clock::now() + 5s;
+        while (!isDone() && std::chrono::steady_clock::now() < end) {
+            m_context.restart();
+            m_context.run_one_for(1ms);
+        }
+        return isDone();
+    }
+
+    bool isWhole()
+    {
+        CPPUNIT_ASSERT(runUntil([this] { return result.has_value(); }));
+        return result->has_value();
+    }
+
+private:
+    asio::io_context& m_context;
+    std::shared_ptr<ClientConnection> m_connection;
+
+public:
+    asio::ip::tcp::socket server;
+    std::optional<ExchangeResult> result;
+};
+
+}
+
+class BrokenResponseTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(BrokenResponseTest);
+    CPPUNIT_TEST(responseCutAtAnyByteIsNotWhole);
+    CPPUNIT_TEST(answerThatBreaksOffIsShorterThanAnnounced);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** A server that ends within its response left a status with an empty or short body. */
+    void responseCutAtAnyByteIsNotWhole()
+    {
+        for (const auto& cut : cutResponses("X-Id: 1\r\n")) {
+            // The end arrives with the bytes, or after them.
+            for (const bool isLater : { false, true }) {
+                OpenRequest request(m_context, m_acceptor);
+                request.readRequest();
+                request.send(cut.bytes);
+                if (isLater)
+                    request.runReady();
+                CPPUNIT_ASSERT_MESSAGE(cut.description(), !request.result);
+                breakOff(request.server, cut.end);
+                CPPUNIT_ASSERT_MESSAGE(cut.description(), !request.isWhole());
+                CPPUNIT_ASSERT_MESSAGE(cut.description(), request.result->error().wasSent);
+            }
+        }
+    }
+
+    /** A process that ends while it writes an answer must leave the caller with less than was announced, and without
+     *  the answers behind it. */
+    void answerThatBreaksOffIsShorterThanAnnounced()
+    {
+        std::string body;
+        body.assign(33'554'432, 'x');
+        Loopback loopback;
+        loopback.answersAtOnce = false;
+        loopback.send(get("/1") + get("/2"));
+        loopback.run(20ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, loopback.exchanges.size());
+        loopback.exchanges[1]->respond(ok("second"));
+        loopback.exchanges[0]->respond(ok(body));
+        loopback.run(20ms);
+        loopback.server.closeAll();
+        loopback.caller.non_blocking(false);
+        std::string received;
+        error_code ec;
+        asio::read(loopback.caller, asio::dynamic_buffer(received), ec);
+        CPPUNIT_ASSERT_EQUAL(error_code(asio::error::eof), ec);
+        const auto head = received.substr(0, received.find("\r\n\r\n") + 4);
+        CPPUNIT_ASSERT(head.find("\r\nContent-Length: " + std::to_string(body.size()) + "\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(received.size() > head.size() && received.size() < head.size() + body.size());
+        CPPUNIT_ASSERT(received.find("second") == std::string::npos);
+    }
+
+private:
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor { m_context, { asio::ip::address_v4::loopback(), 0 } };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BrokenResponseTest);
