http: take no body for whole whose connection broke while the request was written

A server that closes a connection with unread input resets it.

A socket reports an error once. While a part of the request waits to be written, the write gets the reset, because the event loop performs writes before reads; the read then finds an end like that of an orderly close, and the parser takes what has arrived for the body. The same goes for a connection that went silent, when the time for acknowledgements ends it.

The connection now keeps the error of the write, and an end after it counts as that error. A broken pipe is no such error: Linux reports it if the server had closed its side before, which ends a body orderly; earlyResponseIsWholeIfItsConnectionWasClosed fails if it counts.

--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -135,6 +135,7 @@
     unsigned m_skippedResponses = 0; // Responses of the current exchange that answered other requests.
     bool m_wasSent = false;
     bool m_isWriting = false;
+    boost::system::error_code m_writeError; // The connection broke while a request was written.
     bool m_isRetired = false; // Takes no further request, because stray bytes may follow.
 };
 
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -154,9 +154,13 @@
 void ClientConnection::onWritten(const error_code& ec)
 {
     m_isWriting = false;
-    // A response may have been sent before the server closed its side, so only reading decides.
-    if (ec)
-        m_isRetired = true;
+    if (!ec)
+        return;
+    // A response may have been sent before the connection broke, so only reading decides.
+    m_isRetired = true;
+    // Linux reports a broken pipe if the server closed its side before the connection broke.
+    if (ec != asio::error::broken_pipe)
+        m_writeError = ec;
 }
 
 void ClientConnection::read()
@@ -169,14 +173,16 @@
 {
     if (m_state != State::Open)
         return;
-    if (ec == asio::error::eof) {
+    // A socket reports an error once. If the write got it, the read finds an end that the server did not send.
+    const auto error = ec == asio::error::eof && m_writeError ? m_writeError : ec;
+    if (error == asio::error::eof) {
         parse(true);
         if (m_state == State::Open)
             fail("the server closed the connection");
         return;
     }
-    if (ec) {
-        fail("the connection broke: " + ec.message());
+    if (error) {
+        fail("the connection broke: " + error.message());
         return;
     }
     m_buffer.commit(bytes);
--- a/libs/http/tests/BrokenResponseTest.cpp
+++ b/libs/http/tests/BrokenResponseTest.cpp
@@ -8,6 +8,9 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <chrono>
 #include <optional>
 #include <string>
@@ -83,11 +86,23 @@
     std::optional<ExchangeResult> result;
 };
 
+/** A request that doesn't fit into the buffers of the sockets, so that the rest of it waits to be written. */
+HttpRequest longRequest()
+{
+    HttpRequest request(http::verb::post, "/", 11);
+    request.body().assign(16'777'216, 'x');
+    request.prepare_payload();
+    return request;
+}
+
 }
 
 class BrokenResponseTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(BrokenResponseTest);
     CPPUNIT_TEST(responseCutAtAnyByteIsNotWhole);
+    CPPUNIT_TEST(resetFoundByTheWriteDoesNotEndABody);
+    CPPUNIT_TEST(lostConnectionFoundByTheWriteDoesNotEndABody);
+    CPPUNIT_TEST(earlyResponseIsWholeIfItsConnectionWasClosed);
     CPPUNIT_TEST(answerThatBreaksOffIsShorterThanAnnounced);
     CPPUNIT_TEST_SUITE_END();
 
@@ -111,6 +126,51 @@
         }
     }
 
+    /** A server that closes a connection with unread input resets it. If part of the request still waits to be written,
+     *  the write gets the error, and the read finds an end like that of an orderly close. */
+    void resetFoundByTheWriteDoesNotEndABody()
+    {
+        for (const std::string body : { "", "part" }) {
+            for (const bool isLater : { false, true }) {
+                OpenRequest request(m_context, m_acceptor, longRequest());
+                request.send("HTTP/1.1 200 OK\r\n\r\n" + body);
+                if (isLater)
+                    request.runReady();
+                breakOff(request.server, BreakOff::Close);
+                CPPUNIT_ASSERT(!request.isWhole());
+            }
+        }
+    }
+
+    /** A connection that goes silent ends with the time for acknowledgements, which the write may find first as well.
+     */
+    void lostConnectionFoundByTheWriteDoesNotEndABody()
+    {
+        ClientConnectionOptions options;
+        options.acknowledgeTimeout = 300ms;
+        OpenRequest request(m_context, m_acceptor, longRequest(), options);
+        request.send("HTTP/1.1 200 OK\r\n\r\npart");
+        sock_filter drop[] = { BPF_STMT(BPF_RET | BPF_K, 0) };
+        const sock_fprog filter { 1, drop };
+        CPPUNIT_ASSERT_EQUAL(
+            0, ::setsockopt(request.server.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter));
+        // Makes room, so that the request's next part is sent, and lost.
+        std::string input(1'048'576, ' ');
+        request.server.read_some(asio::buffer(input));
+        CPPUNIT_ASSERT(!request.isWhole());
+    }
+
+    /** A server may answer before it has read a long body, and end the connection. */
+    void earlyResponseIsWholeIfItsConnectionWasClosed()
+    {
+        OpenRequest request(m_context, m_acceptor, longRequest());
+        request.send("HTTP/1.1 200 OK\r\n\r\nwhole");
+        request.server.shutdown(asio::ip::tcp::socket::shutdown_send);
+        breakOff(request.server, BreakOff::Close);
+        CPPUNIT_ASSERT(request.isWhole());
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), (*request.result)->body());
+    }
+
     /** A process that ends while it writes an answer must leave the caller with less than was announced, and without
      *  the answers behind it. */
     void answerThatBreaksOffIsShorterThanAnnounced()
