http: refuse responses whose transfer coding is unknown

Callers could get a success whose body isn't the server's: of a response with "Transfer-Encoding: gzip, chunked" the coded bytes, of one with "chunked, gzip", "gzip", an empty or a misspelt value the chunks with their headers, up to the end of the connection, and of one with "gzip" and Content-Length as many bytes as the length says.

The parser takes a body for chunked if the last coding is "chunked", and ignores the header otherwise; the gateway then removes the header with the others that concern one connection. Requests ask for no transfer coding, so a server may use no other one than "chunked".

A response with another one is malformed now, found when its header is complete. ambiguousFramingIsRefused sends 22 responses, among them those with a length and chunks, with two lengths, without status line and of other versions; 6 were accepted before, the first printed as "assertion failed - Expression: !request.isWhole() - HTTP/1.1 200 OK Transfer-Encoding: gzip, chunked".

--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -1,10 +1,12 @@
 #include "http/ClientConnection.h"
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace peridot {
@@ -28,6 +30,13 @@
 
     bool isInformational(const HttpResponse& response) { return response.result_int() / 100 == 1; }
 
+    /** Requests ask for no other coding. The parser ignores others, and takes what they coded for the body. */
+    bool hasUnknownCoding(const HttpFields& fields)
+    {
+        const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
+        return std::any_of(first, last, [](const auto& it) { return !boost::beast::iequals(it.value(), "chunked"); });
+    }
+
 }
 
 error_code openSocket(asio::ip::tcp::socket& socket, const asio::ip::tcp::endpoint& remote,
@@ -206,9 +215,15 @@
                 ec = {};
         }
         // An eager parser goes on with the body after a header that it refuses, and reserves the announced length.
-        if (!ec && !m_parser->eager() && m_parser->is_header_done() && !m_parser->is_done()) {
-            m_parser->eager(true);
-            continue;
+        if (!ec && !m_parser->eager() && m_parser->is_header_done()) {
+            if (hasUnknownCoding(m_parser->get())) {
+                fail("malformed response: unknown transfer coding", true);
+                return;
+            }
+            if (!m_parser->is_done()) {
+                m_parser->eager(true);
+                continue;
+            }
         }
         if (!ec && isAtEnd && !m_parser->is_done() && m_parser->got_some())
             m_parser->put_eof(ec);
--- a/libs/http/tests/BrokenResponseTest.cpp
+++ b/libs/http/tests/BrokenResponseTest.cpp
@@ -103,6 +103,7 @@
     CPPUNIT_TEST(resetFoundByTheWriteDoesNotEndABody);
     CPPUNIT_TEST(lostConnectionFoundByTheWriteDoesNotEndABody);
     CPPUNIT_TEST(earlyResponseIsWholeIfItsConnectionWasClosed);
+    CPPUNIT_TEST(ambiguousFramingIsRefused);
     CPPUNIT_TEST(answerThatBreaksOffIsShorterThanAnnounced);
     CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +172,33 @@
         CPPUNIT_ASSERT_EQUAL(std::string("whole"), (*request.result)->body());
     }
 
+    /** Where two parsers could find different ends of the body, the part that one of them finds must not pass for the
+     *  whole. */
+    void ambiguousFramingIsRefused()
+    {
+        for (const std::string response : { "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 8\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 4, 8\r\n", "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 4x\r\n", "HTTP/1.1 200 OK\r\nContent-Length:\r\n",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunke\r\n",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 4\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length 4\r\n", "HTTP/1.1 200 OK\nContent-Length: 4\n",
+                 "HTTP/0.9 200 OK\r\n", "HTTP/2.0 200 OK\r\n", "HTTP/1.1 20 OK\r\n", "HTTP/1.1 \r\n", "200 OK\r\n",
+                 "four" }) {
+            OpenRequest request(m_context, m_acceptor);
+            request.readRequest();
+            request.send(response);
+            request.send("\r\n4\r\nfour\r\n0\r\n\r\n");
+            breakOff(request.server, BreakOff::Close);
+            CPPUNIT_ASSERT_MESSAGE(response, !request.isWhole());
+        }
+    }
+
     /** A process that ends while it writes an answer must leave the caller with less than was announced, and without
      *  the answers behind it. */
     void answerThatBreaksOffIsShorterThanAnnounced()
