entry: refuse an instance's response that ends with its connection

An instance that reaches no server passes requests to another one.

Instances state the length of each response: PlatformCallerProtocol sets it, or the status has no body (responsesToCallersStateTheirLength). The gateway now takes the exchange for broken: 502, and the request isn't sent again, as with a connection that ends.

Before the fix, broken-exchange-tests printed for instancesResponseDoesNotEndWithItsConnection: "assertion failed - Expression: harness.received.ends_with("\r\n\r\nserver_failed") - HTTP/1.0 200 OK X-Server-Seal: s Connection: keep-alive part".

--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -40,6 +40,14 @@
         return content == 0 ? 1 : content; // 0 stands for unknown.
     }
 
+    /** Whether nothing but the end of the connection delimits the body. */
+    bool endsWithConnection(const HttpResponse& response)
+    {
+        const bool mayHaveBody = response.result() != boost::beast::http::status::no_content
+            && response.result() != boost::beast::http::status::not_modified;
+        return mayHaveBody && !response.has_content_length() && !response.chunked();
+    }
+
     /** Records an exchange over one of @p connections that ended without a response. */
     void recordFailure(const ExchangeError& error, ServerConnections& connections, SendReport& report)
     {
@@ -181,7 +189,10 @@
     request.isAtPeer = true;
     connection->send(
         m_protocol.requestToInstance(request.exchange->request, pass),
-        [this, id = request.id](const HttpResponse& response) { return m_protocol.checkFromInstance(response, id); },
+        [this, id = request.id](const HttpResponse& response) {
+            // Instances state the length of each body. Without it, a part that arrived would pass for the whole.
+            return endsWithConnection(response) ? ResponseVerdict::Reject : m_protocol.checkFromInstance(response, id);
+        },
         [this, handle = pass.request, connection](
             ExchangeResult result) { passFinished(handle, connection, std::move(result)); });
 }
--- a/libs/entry/tests/BrokenExchangeTest.cpp
+++ b/libs/entry/tests/BrokenExchangeTest.cpp
@@ -113,6 +113,7 @@
     CPPUNIT_TEST(idempotentRequestIsSentAgain);
     CPPUNIT_TEST(requestThatMayRunOnceGetsAnError);
     CPPUNIT_TEST(brokenResponseOfAnInstanceIsNotPassedOn);
+    CPPUNIT_TEST(instancesResponseDoesNotEndWithItsConnection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -165,6 +166,25 @@
             }
         }
     }
+
+    /** An instance states the length of each response. Without it, a response whose connection a fault on the way has
+     *  closed looks whole at any byte of its body. */
+    void instancesResponseDoesNotEndWithItsConnection()
+    {
+        for (const std::string version : { "HTTP/1.0", "HTTP/1.1" }) {
+            InstanceWithoutServers harness(false);
+            harness.answer = { version + " 200 OK\r\nX-Server-Seal: s\r\n\r\npart", BreakOff::Close };
+            CPPUNIT_ASSERT(harness.isAnswered());
+            CPPUNIT_ASSERT_MESSAGE(harness.received, harness.received.ends_with("\r\n\r\nserver_failed"));
+            CPPUNIT_ASSERT_EQUAL(1, harness.passes);
+            for (const std::string response :
+                { "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 304 Not Modified\r\n\r\n" }) {
+                harness.answer = { response };
+                CPPUNIT_ASSERT(harness.isAnswered());
+                CPPUNIT_ASSERT_EQUAL(response.substr(0, 12), harness.received.substr(0, 12));
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenExchangeTest);
