tests, entry: give each test process its own loopback address

broken-exchange-tests failed in 3 of 30 runs, and in 3 of 42 with the requests printed: a server that was to get one request got two, the second "GET /book ... Passed-On: 1" or "GET /first", or a request to a closed port was answered. Another process ran PassedRequestTest at that time. It sends requests to ports that it has closed, and after a moment another test process may listen there. The other way round, ports that are to be closed may be open again, so that an instance without servers finds one (503 not_executed instead of server_failed).

The servers, callers' listeners and closed ports of the tests of libs/entry, and RawServer, are now on an address of 127.64.0.0/10 that contains the process id. Nothing else changes in the tests, and no check does.

--- a/libs/entry/tests/BrokenExchangeTest.cpp
+++ b/libs/entry/tests/BrokenExchangeTest.cpp
@@ -85,8 +85,7 @@
         std::vector<boost::asio::ip::tcp::acceptor> acceptors;
         std::vector<std::uint16_t> ports;
         for (int i = 0; i < 4; ++i) {
-            acceptors.emplace_back(
-                context, boost::asio::ip::tcp::endpoint { boost::asio::ip::address_v4::loopback(), 0 });
+            acceptors.emplace_back(context, boost::asio::ip::tcp::endpoint { processLoopback(), 0 });
             ports.push_back(acceptors.back().local_endpoint().port());
         }
         return ports;
--- a/libs/entry/tests/CrashIsolationTest.cpp
+++ b/libs/entry/tests/CrashIsolationTest.cpp
@@ -34,7 +34,7 @@
     using Decision = std::function<Behaviour(const std::string& path)>;
 
     TestServer(asio::io_context& context, Decision decide)
-        : m_acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+        : m_acceptor(context, { processLoopback(), 0 })
         , m_queued(context)
         , m_port(m_acceptor.local_endpoint().port())
         , m_decide(std::move(decide))
@@ -291,8 +291,8 @@
         first->end();
         // Shares the check that runs since the connection broke.
         std::optional<ConnectOutcome> result;
-        harness.connections.tryConnect("127.0.0.1:" + std::to_string(first->port()), Duration { 0 },
-            [&](ConnectOutcome outcome) { result = outcome; });
+        harness.connections.tryConnect(
+            onProcessLoopback(first->port()), Duration { 0 }, [&](ConnectOutcome outcome) { result = outcome; });
         CPPUNIT_ASSERT(harness.runUntil([&] { return result.has_value(); }, std::chrono::milliseconds { 5'000 }));
         CPPUNIT_ASSERT(result == ConnectOutcome::Refused);
         CPPUNIT_ASSERT(harness.steering.crashes().takeChanges(steadyNow()).added.empty());
--- a/libs/entry/tests/GatewayHarness.h
+++ b/libs/entry/tests/GatewayHarness.h
@@ -4,6 +4,8 @@
 
 #include "entry/RequestGateway.h"
 
+#include "support/LoopbackAddress.h"
+
 #include "base/SteadyTime.h"
 
 #include <boost/asio/write.hpp>
@@ -76,8 +78,8 @@
         , callerServer(context, {}, 100, [this](const auto& exchange) { gateway.handle(exchange); })
         , callerSocket(context)
     {
-        CPPUNIT_ASSERT(callerServer.listen("127.0.0.1:0"));
-        callerSocket.connect({ boost::asio::ip::make_address("127.0.0.1"), callerServer.port() });
+        CPPUNIT_ASSERT(callerServer.listen(onProcessLoopback()));
+        callerSocket.connect({ processLoopback(), callerServer.port() });
         callerSocket.non_blocking(true);
     }
 
@@ -107,7 +109,7 @@
             ListedServer server;
             server.id = BackendServerId("i-" + std::to_string(port));
             server.service = ServiceId("salonik");
-            server.address = "127.0.0.1:" + std::to_string(port);
+            server.address = onProcessLoopback(port);
             server.region = RegionId("jadran");
             server.slots = 4;
             servers.push_back(server);
--- a/libs/entry/tests/GatewayTest.cpp
+++ b/libs/entry/tests/GatewayTest.cpp
@@ -20,7 +20,7 @@
     GatewayHarness()
         : backend(context, {}, 100, [this](const auto& exchange) { onBackendRequest(exchange); })
     {
-        CPPUNIT_ASSERT(backend.listen("127.0.0.1:0"));
+        CPPUNIT_ASSERT(backend.listen(onProcessLoopback()));
         setRoute(false, 1);
         setServers({ backend.port() });
     }
--- a/libs/entry/tests/PassedRequestTest.cpp
+++ b/libs/entry/tests/PassedRequestTest.cpp
@@ -37,8 +37,7 @@
     std::vector<boost::asio::ip::tcp::acceptor> acceptors;
     std::vector<std::uint16_t> ports;
     for (std::size_t i = 0; i < count; ++i) {
-        acceptors.emplace_back(
-            context, boost::asio::ip::tcp::endpoint { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        acceptors.emplace_back(context, boost::asio::ip::tcp::endpoint { processLoopback(), 0 });
         ports.push_back(acceptors.back().local_endpoint().port());
     }
     return ports;
@@ -50,7 +49,7 @@
 class SilentListener {
 public:
     explicit SilentListener(boost::asio::io_context& context)
-        : m_acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        : m_acceptor(context, { processLoopback(), 0 })
     {
         sock_filter drop[] = { BPF_STMT(BPF_RET | BPF_K, 0) };
         const sock_fprog filter { 1, drop };
@@ -74,7 +73,7 @@
         })
     {
         setRoute(false, 1);
-        CPPUNIT_ASSERT(server.listen("127.0.0.1:0"));
+        CPPUNIT_ASSERT(server.listen(onProcessLoopback()));
         setServers({ server.port() });
     }
 
@@ -100,7 +99,7 @@
 
     static std::string addressOf(const CallerAndGateway& harness)
     {
-        return "127.0.0.1:" + std::to_string(harness.callerServer.port());
+        return onProcessLoopback(harness.callerServer.port());
     }
 
     /** Sends requests until the instance has found out that it reaches no server. */
@@ -135,7 +134,7 @@
         ServingInstance peer(options("e-1"));
         cut.setRoute(false, 1);
         detach(cut);
-        const auto gone = "127.0.0.1:" + std::to_string(closedPorts(1).front());
+        const auto gone = onProcessLoopback(closedPorts(1).front());
         cut.steering.setInstances({ { InstanceId("e-0"), RegionId("jadran"), true, true, {} },
             { InstanceId("e-1"), RegionId("jadran"), true, false, addressOf(peer) },
             { InstanceId("e-2"), RegionId("jadran"), true, false, gone } });
--- a/libs/http/tests/BrokenResponseTest.cpp
+++ b/libs/http/tests/BrokenResponseTest.cpp
@@ -227,7 +227,7 @@
 
 private:
     asio::io_context m_context;
-    asio::ip::tcp::acceptor m_acceptor { m_context, { asio::ip::address_v4::loopback(), 0 } };
+    asio::ip::tcp::acceptor m_acceptor { m_context, { processLoopback(), 0 } };
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenResponseTest);
--- a/tests/support/CutResponses.h
+++ b/tests/support/CutResponses.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include "support/LoopbackAddress.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -82,7 +84,7 @@
     using Handler = std::function<Answer(const std::string& request)>;
 
     RawServer(boost::asio::io_context& context, Handler handler)
-        : m_acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 })
+        : m_acceptor(context, { processLoopback(), 0 })
         , m_handler(std::move(handler))
     {
         accept();
@@ -93,7 +95,7 @@
     RawServer& operator=(const RawServer&) = delete;
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
-    std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
+    std::string address() const { return onProcessLoopback(port()); }
 
 private:
     struct Connection {
