http, entry: keep a refused request off the connection that refused it

What callers would see: a caller, or a proxy in front of it, that sends a refused request again with its id is told "not run" for a request that a backend server runs, or the request runs at two servers. The callers' interface asks for a new id per attempt; nothing here held the promise against a caller that doesn't.

Cause: a response is matched to its request by the id. Steering sends one request to a server once, but a second request with the same id goes to the same server, over the connection that is kept from the first one. A server that writes the first refusal once more there (in front of the response, or while the request runs) answers the second request with it.

Fix: a connection remembers the ids that were refused on it, as hashes, and ServerConnections::acquire() passes over it for these ids only. All other requests keep using it, so that a refusal by a full server costs no new connection (GatewayTest::refusalKeepsTheConnectionForOtherRequests). A request pays a look at an empty list unless the connection has refused something. After 128 refusals the connection closes, which bounds its memory to 1 KiB and costs one new connection for 128 refusals; forgetting the oldest ones instead would leave the fault open on long-lived connections.

Alternatives: closing each connection that refused a request costs servers a connection per refusal in overload. Taking a refusal of an id that was refused before as "may have run" closes the connection as well, answers 502 where the second refusal is true, and counts against a sound server.

Not covered: the copy of a response that is no refusal, for a caller that uses the id of an answered request again. It makes no statement that the request has not run.

--- a/libs/entry/include/entry/ServerConnections.h
+++ b/libs/entry/include/entry/ServerConnections.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace peridot {
@@ -48,9 +49,10 @@
 
     /** Sets the maximum number of connections to each server. */
     void setLimit(std::size_t connectionsPerServer) { m_limit = connectionsPerServer; }
-    /** Returns an idle or a new connection that has no open request. Returns null if the limit is reached or @p address
-     *  is not a valid endpoint. */
-    std::shared_ptr<ClientConnection> acquire(const BackendServerId&, const std::string& address, bool isIdempotent);
+    /** Returns an idle or a new connection that has no open request and on which no request with this id was refused.
+     *  Returns null if the limit is reached or @p address is not a valid endpoint. */
+    std::shared_ptr<ClientConnection> acquire(
+        const BackendServerId&, const std::string& address, bool isIdempotent, std::string_view requestId);
     /** Closes connections that have been idle for too long. To be called about once a second. */
     void sweep();
     /** Reports that a reused connection broke during a request, after it had been idle for @p idleTime. Lowers the idle
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -147,7 +147,7 @@
     if (it == m_requests.end())
         return;
     auto& request = it->second;
-    auto connection = m_connections.acquire(send.server, send.address, send.isIdempotent);
+    auto connection = m_connections.acquire(send.server, send.address, send.isIdempotent, request.id);
     if (!connection) {
         reportUnsent(
             send.request, DispatchResult::NotSent, "connection limit of the server reached or server address invalid");
@@ -179,7 +179,8 @@
     if (it == m_requests.end())
         return;
     auto& request = it->second;
-    auto connection = m_peers.acquire(BackendServerId(pass.instance.value()), pass.address, pass.isIdempotent);
+    auto connection
+        = m_peers.acquire(BackendServerId(pass.instance.value()), pass.address, pass.isIdempotent, request.id);
     if (!connection) {
         reportUnsent(pass.request, DispatchResult::NotSent,
             "connection limit of the instance reached or instance address invalid");
@@ -237,6 +238,8 @@
         const auto info = m_protocol.inspectResponse(*result);
         if (info.result == DispatchResult::Succeeded || info.result == DispatchResult::ServerError)
             *it->second.hasResponse = true;
+        else
+            connection->noteRefusal(it->second.id);
         sendReport.result = info.result;
         sendReport.statement = info.statement;
         sendReport.responseBytes = result->body().size();
--- a/libs/entry/src/ServerConnections.cpp
+++ b/libs/entry/src/ServerConnections.cpp
@@ -49,7 +49,7 @@
 }
 
 std::shared_ptr<ClientConnection> ServerConnections::acquire(
-    const BackendServerId& id, const std::string& address, bool isIdempotent)
+    const BackendServerId& id, const std::string& address, bool isIdempotent, std::string_view requestId)
 {
     auto& server = m_servers[id];
     if (server.address != address) {
@@ -60,12 +60,12 @@
         server.address = address;
     }
     const auto now = ClientConnection::Clock::now();
-    if (!server.idle.empty()) {
-        auto connection = server.idle.back();
-        if (now - connection->idleSince() <= maximumIdleTime(*connection, isIdempotent)) {
-            server.idle.pop_back();
-            return connection;
-        }
+    const auto it = std::find_if(
+        server.idle.rbegin(), server.idle.rend(), [&](const auto& idle) { return !idle->hasRefused(requestId); });
+    if (it != server.idle.rend() && now - (*it)->idleSince() <= maximumIdleTime(**it, isIdempotent)) {
+        auto connection = *it;
+        server.idle.erase(std::next(it).base());
+        return connection;
     }
     if (server.connectionCount >= m_limit && !server.idle.empty())
         server.idle.front()->close();
--- a/libs/entry/tests/GatewayTest.cpp
+++ b/libs/entry/tests/GatewayTest.cpp
@@ -2,11 +2,16 @@
 
 #include "GatewayHarness.h"
 
+#include <boost/asio/read_until.hpp>
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
 #include <functional>
+#include <list>
+#include <memory>
+#include <string>
 
 using namespace peridot;
 using namespace std::chrono_literals;
@@ -34,6 +39,68 @@
     HttpServer backend;
 };
 
+/** A backend server that refuses requests while it is full. A faulty one writes the last refusal of a connection again
+ *  when the next request runs there, before the response. */
+class RefusingServer {
+public:
+    explicit RefusingServer(boost::asio::io_context& context)
+        : m_acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    {
+        accept();
+    }
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+    bool isFull = true;
+    bool repeatsRefusals = true;
+    int connections = 0;
+    int runs = 0;
+
+private:
+    struct Connection {
+        boost::asio::ip::tcp::socket socket;
+        std::string input {};
+        std::string refusal {};
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket) {
+            if (ec)
+                return;
+            ++connections;
+            read(std::make_shared<Connection>(Connection { std::move(socket) }));
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<Connection>& connection)
+    {
+        boost::asio::async_read_until(connection->socket, boost::asio::dynamic_buffer(connection->input), "\r\n\r\n",
+            [this, connection](const boost::system::error_code& ec, std::size_t length) {
+                if (ec)
+                    return;
+                connection->input.erase(0, length);
+                answer(*connection);
+                read(connection);
+            });
+    }
+
+    void answer(Connection& connection)
+    {
+        std::string bytes;
+        if (isFull) {
+            bytes = connection.refusal = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+        } else {
+            ++runs;
+            bytes = (repeatsRefusals ? connection.refusal : "") + "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nran";
+        }
+        boost::asio::write(connection.socket, boost::asio::buffer(bytes));
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+};
+
 }
 
 class GatewayTest : public CppUnit::TestFixture {
@@ -44,6 +111,8 @@
     CPPUNIT_TEST(requestTimesOutIfServerDoesNotAnswer);
     CPPUNIT_TEST(shedRequestIsRejectedAsNotExecuted);
     CPPUNIT_TEST(leavingInstanceRejectsNewRequests);
+    CPPUNIT_TEST(repeatedRefusalDoesNotCountForARequestSentAgain);
+    CPPUNIT_TEST(refusalKeepsTheConnectionForOtherRequests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -139,6 +208,51 @@
         CPPUNIT_ASSERT(harness.received.find("whole") < harness.received.find("leaving"));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, pending.size());
     }
+
+    /** A caller sends a refused request again with its id, and the refusal's copy comes over the same connection. */
+    void repeatedRefusalDoesNotCountForARequestSentAgain()
+    {
+        for (const std::size_t count : { 1U, 2U }) {
+            SteeringOptions options { RegionId("jadran"), {} };
+            options.bounds.retrySlack = 10; // Each refused request is sent to all servers.
+            CallerAndGateway harness(options);
+            harness.setRoute(false, 1);
+            std::list<RefusingServer> servers;
+            std::vector<std::uint16_t> ports;
+            for (std::size_t i = 0; i < count; ++i)
+                ports.push_back(servers.emplace_back(harness.context).port());
+            harness.setServers(ports);
+            harness.send("/1");
+            CPPUNIT_ASSERT_MESSAGE(harness.received, harness.receives("503 Service Unavailable"));
+            CPPUNIT_ASSERT(harness.runUntil([&] { return harness.gateway.openRequests() == 0; }));
+            harness.received.clear();
+            for (auto& server : servers)
+                server.isFull = false;
+            harness.send("/1");
+            harness.runUntil([&] { return harness.gateway.openRequests() == 0 && !harness.received.empty(); });
+            int runs = 0;
+            for (const auto& server : servers)
+                runs += server.runs;
+            CPPUNIT_ASSERT_EQUAL(1, runs);
+            CPPUNIT_ASSERT_MESSAGE(harness.received, harness.receives("\r\n\r\nran"));
+        }
+    }
+
+    /** Full servers refuse many requests. Opening a connection after each refusal would load them further. */
+    void refusalKeepsTheConnectionForOtherRequests()
+    {
+        CallerAndGateway harness;
+        harness.setRoute(false, 1);
+        RefusingServer server(harness.context);
+        server.repeatsRefusals = false;
+        harness.setServers({ server.port() });
+        harness.send("/1");
+        CPPUNIT_ASSERT_MESSAGE(harness.received, harness.receives("not_executed"));
+        server.isFull = false;
+        harness.send("/2");
+        CPPUNIT_ASSERT_MESSAGE(harness.received, harness.receives("\r\n\r\nran"));
+        CPPUNIT_ASSERT_EQUAL(1, server.connections);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -20,7 +20,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace peridot {
 
@@ -79,6 +81,12 @@
     /** Whether a request was sent on this connection before the current one, so that a response to it may still
      *  arrive. */
     bool isReused() const noexcept { return m_requests > 1; }
+    /** Records that the server refused the request with this id, which has just ended. The connection closes after a
+     *  bounded number of refusals. */
+    void noteRefusal(std::string_view requestId);
+    /** Whether a request with this id was refused here. A late copy of the refusal would pass for the response to
+     *  another request with the id. */
+    bool hasRefused(std::string_view requestId) const;
     Clock::time_point idleSince() const noexcept { return m_idleSince; }
     /** Time that connecting took; empty before, and after the first call. */
     std::optional<Duration> takeConnectTime() noexcept { return std::exchange(m_connectTime, std::nullopt); }
@@ -132,6 +140,7 @@
     // Identifies the newest exchange. A timer that is due together with the response may run after the next exchange
     // has begun, which it must not end.
     std::uint64_t m_exchange = 0;
+    std::vector<std::size_t> m_refused; // Hashes of the ids of refused requests.
     unsigned m_skippedResponses = 0; // Responses of the current exchange that answered other requests.
     bool m_wasSent = false;
     bool m_isWriting = false;
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace peridot {
@@ -24,6 +25,8 @@
     constexpr std::size_t unparsedBytes = 65'536;
     // A server that sends more responses to other requests, or more informational ones, is faulty.
     constexpr unsigned maximumSkippedResponses = 16;
+    // Bounds the memory of a connection, at one new connection for so many refusals.
+    constexpr std::size_t maximumRefusals = 128;
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
     using BindAddressNoPort = asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
@@ -275,6 +278,19 @@
         resetParser();
 }
 
+void ClientConnection::noteRefusal(std::string_view requestId)
+{
+    m_refused.push_back(std::hash<std::string_view> {}(requestId));
+    if (m_refused.size() >= maximumRefusals)
+        close();
+}
+
+bool ClientConnection::hasRefused(std::string_view requestId) const
+{
+    return !m_refused.empty()
+        && std::find(m_refused.begin(), m_refused.end(), std::hash<std::string_view> {}(requestId)) != m_refused.end();
+}
+
 void ClientConnection::finish(ExchangeResult result)
 {
     const auto self = shared_from_this();
--- a/libs/http/tests/ClientConnectionTest.cpp
+++ b/libs/http/tests/ClientConnectionTest.cpp
@@ -103,6 +103,7 @@
     CPPUNIT_TEST(timeoutThatIsDueWithTheResponseSparesTheNextRequest);
     CPPUNIT_TEST(requestIsNotSentIfConnectingOutlastsItsTimeout);
     CPPUNIT_TEST(announcedLengthBeyondTheLimitEndsTheExchange);
+    CPPUNIT_TEST(refusalsAreRememberedWithABound);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -302,6 +303,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, loopback.peer.available());
     }
 
+    /** A connection to a server that is often full may live for days and would use up the memory of the instance. */
+    void refusalsAreRememberedWithABound()
+    {
+        Loopback loopback;
+        loopback.request("/");
+        loopback.answer("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        int refusals = 0;
+        while (loopback.closed == 0 && refusals < 10'000) {
+            const auto id = std::to_string(refusals++);
+            CPPUNIT_ASSERT(!loopback.connection->hasRefused(id));
+            loopback.connection->noteRefusal(id);
+            CPPUNIT_ASSERT(loopback.connection->hasRefused("0") && loopback.connection->hasRefused(id));
+        }
+        CPPUNIT_ASSERT_EQUAL(1, loopback.closed);
+        // A new connection costs a server the time of some requests, so that it must be rare.
+        CPPUNIT_ASSERT(refusals >= 100);
+    }
+
     void malformedResponsesAreToldApart()
     {
         for (const std::string bytes :
