peridot: a refusal after an attempt that may have run says unknown

What callers see: peridotd answers "run":"not_run" for an idempotent request that a backend server has run or is running, if its first attempt ended without a response and the request is then refused: by the next server, because no server is left, by the queue or by a changed configuration.

Cause: ServiceRouter took the state of a refusal from the last attempt alone.

Evidence: NodeTest::refusalAfterAFailedAttemptSaysUnknown on the code before: "assertion failed - Expression: m_fleet->refusals.at(id).run == RunState::Unknown".

Fix: the record of a request keeps that an attempt has failed or timed out, and the one place that refuses looks at it.

--- a/peridot/src/ServiceRouter.cpp
+++ b/peridot/src/ServiceRouter.cpp
@@ -299,6 +299,8 @@
             end(id, UnknownRequest {}, output);
         } else {
             record.excluded.push_back(running.server);
+            record.mayHaveRun
+                |= outcome.kind == DispatchOutcomeKind::Failed || outcome.kind == DispatchOutcomeKind::TimedOut;
             retryOrEnd(record, outcome, now, output);
         }
         break;
@@ -349,7 +351,10 @@
     if (it == m_requests.end() || it->second.running)
         return output;
     m_queue.cancel(now, id);
-    end(id, NotRunRequest {}, output);
+    if (it->second.mayHaveRun)
+        end(id, UnknownRequest {}, output);
+    else
+        end(id, NotRunRequest {}, output);
     pump(now, output);
     return output;
 }
@@ -397,9 +402,11 @@
         applyServers(state, now);
 }
 
-void ServiceRouter::refuse(Record& record, const Refusal& refusal, TimePoint now, RequestOutput& output)
+void ServiceRouter::refuse(Record& record, Refusal refusal, TimePoint now, RequestOutput& output)
 {
     const auto& request = record.request;
+    if (record.mayHaveRun)
+        refusal.run = RunState::Unknown;
     LogLine line("refuse");
     line.add("request", request.head.id)
         .add("workspace", request.workspace)
--- a/peridot/src/ServiceRouter.h
+++ b/peridot/src/ServiceRouter.h
@@ -68,6 +68,7 @@
     struct Record {
         AdmittedRequest request;
         std::uint32_t attempt = 0;
+        bool mayHaveRun = false; // An attempt ended without a statement that the request has not run.
         std::vector<BackendServerId> excluded; // Servers that refused it or could not be reached.
         std::optional<Running> running;
     };
@@ -92,7 +93,8 @@
     bool spendAll(const SpillDecision&, TimePoint now);
     void dispatch(Record&, const RegionId&, const BackendChoice&, TimePoint now, RequestOutput&);
     void retryOrEnd(Record&, const DispatchOutcome&, TimePoint now, RequestOutput&);
-    void refuse(Record&, const Refusal&, TimePoint now, RequestOutput&);
+    /** A refusal that says that the request has not run is changed if an attempt may have run. */
+    void refuse(Record&, Refusal, TimePoint now, RequestOutput&);
     void refuseRemoved(TimePoint now, RequestOutput&);
     void end(const RequestId&, decltype(EndedRequest::ending), RequestOutput&);
     void observe(const DispatchOutcome&, const Running&);
--- a/peridot/tests/NodeTest.cpp
+++ b/peridot/tests/NodeTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(goesOnWhileStoreIsDownForAll);
     CPPUNIT_TEST(neverRepeatsFailedNonIdempotentRequest);
     CPPUNIT_TEST(repeatsShedRequestWithinRetryBudget);
+    CPPUNIT_TEST(refusalAfterAFailedAttemptSaysUnknown);
     CPPUNIT_TEST(idempotencyKeyRunsOnce);
     CPPUNIT_TEST(conflictingChangesOfTwoOperators);
     CPPUNIT_TEST(leavingInstanceDrains);
@@ -237,6 +238,26 @@
         CPPUNIT_ASSERT(m_fleet->dispatches.at(id).at(1).backendServer != first);
     }
 
+    /** An attempt ends without a response, the next ones are shed: the last refusal must not say that nothing has run.
+     */
+    void refusalAfterAFailedAttemptSaysUnknown()
+    {
+        start(400, 200);
+        drive(1, 1s, "large"); // Fills the retry budget of the class.
+        m_fleet->completesAtOnce = false;
+        const auto id = m_fleet->request("a1", "GET", "/booking/search", SmallFleet::key("large"));
+        m_fleet->run(100ms);
+        DispatchOutcome outcome;
+        outcome.kind = DispatchOutcomeKind::Failed;
+        for (std::size_t sent = 1; dispatchCount(id) == sent && !m_fleet->refusals.contains(id); ++sent) {
+            m_fleet->finish("a1", id, outcome);
+            m_fleet->run(100ms);
+            outcome.kind = DispatchOutcomeKind::Shed;
+        }
+        CPPUNIT_ASSERT(dispatchCount(id) > 1);
+        CPPUNIT_ASSERT(m_fleet->refusals.at(id).run == RunState::Unknown);
+    }
+
     void idempotencyKeyRunsOnce()
     {
         start();
