steering: check in the randomised run that no request goes to a server twice

The attribution of a refusal by its request's id rests on it: on a kept connection, a late copy of the first refusal would pass for the response to a second send. The property holds by Request::excluded, which recordSendResult() fills after each send that was not withdrawn and ServicePool::mayServe() applies; nothing checked it.

Evidence: without the line that fills Request::excluded, randomisedRunKeepsItsInvariants fails with "assertion failed - Expression: sent.emplace(send->request, send->server).second"; the other tests of TrafficSteeringTest pass.

--- a/libs/steering/tests/TrafficSteeringTest.cpp
+++ b/libs/steering/tests/TrafficSteeringTest.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <utility>
 
 using namespace peridot;
 using namespace peridot::steering_fixtures;
@@ -415,8 +416,8 @@
         CPPUNIT_ASSERT(share("/new/x") * 4 > share("/lookup/x"));
     }
 
-    /** Random send results and caller disconnects: each request ends exactly once, and requests that are not idempotent
-     *  run at most once. */
+    /** Random send results and caller disconnects: each request ends exactly once, goes to each server at most once,
+     * and runs at most once unless it is idempotent. */
     void randomisedRunKeepsItsInvariants()
     {
         for (unsigned seed = 1; seed <= 20; ++seed) {
@@ -424,12 +425,15 @@
             std::mt19937 random(seed);
             std::map<RequestHandle, int> mayHaveRun;
             std::set<RequestHandle> running;
+            std::set<std::pair<RequestHandle, BackendServerId>> sent;
             std::map<RequestHandle, bool> isIdempotent;
             std::set<RequestHandle> open;
             const auto collect = [&](const SteeringActions& actions) {
                 for (const auto& action : actions) {
                     if (const auto* send = std::get_if<SendToServer>(&action)) {
                         CPPUNIT_ASSERT(running.insert(send->request).second);
+                        // A late copy of a server's refusal would pass for its response to the second send.
+                        CPPUNIT_ASSERT(sent.emplace(send->request, send->server).second);
                         CPPUNIT_ASSERT(isIdempotent[send->request] || mayHaveRun[send->request] == 0);
                     } else if (const auto* cancel = std::get_if<CancelSend>(&action)) {
                         running.erase(cancel->request);
