entry: keep the closed ports of PassedRequestTest bound

The test took free ports as those at which nothing listens.

Fix: the ports stay bound by sockets that don't listen, so that connections are refused and nobody else gets the ports. The checks are the same.

--- a/libs/entry/tests/PassedRequestTest.cpp
+++ b/libs/entry/tests/PassedRequestTest.cpp
@@ -30,15 +30,16 @@
     });
 }
 
-/** Ports at which nothing listens. */
+/** Ports at which nothing listens. They stay bound until the program ends, because another program would get a port
+ * that is free, and respond there. */
 std::vector<std::uint16_t> closedPorts(std::size_t count)
 {
-    boost::asio::io_context context;
-    std::vector<boost::asio::ip::tcp::acceptor> acceptors;
+    static boost::asio::io_context context;
+    static std::vector<boost::asio::ip::tcp::socket> sockets;
     std::vector<std::uint16_t> ports;
     for (std::size_t i = 0; i < count; ++i) {
-        acceptors.emplace_back(context, boost::asio::ip::tcp::endpoint { processLoopback(), 0 });
-        ports.push_back(acceptors.back().local_endpoint().port());
+        sockets.emplace_back(context, boost::asio::ip::tcp::endpoint { processLoopback(), 0 });
+        ports.push_back(sockets.back().local_endpoint().port());
     }
     return ports;
 }
