entry, tests: the server of the refusal tests listens where the harness sends

Two changes of tests met: the harness got an address of its own for each process, and new cases had a server on 127.0.0.1. Both cases failed after the merge and pass now.

--- a/libs/entry/tests/GatewayTest.cpp
+++ b/libs/entry/tests/GatewayTest.cpp
@@ -44,7 +44,7 @@
 class RefusingServer {
 public:
     explicit RefusingServer(boost::asio::io_context& context)
-        : m_acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        : m_acceptor(context, { processLoopback(), 0 })
     {
         accept();
     }
