--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -15,9 +15,13 @@
 
 namespace peridot {
 
-/** Splits "host:port". The host has to be an IP address. */
+/** Splits "host:port". The host has to be an IP address; an IPv6 address may be in brackets. */
 Result<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string& text);
 
+/** As parseEndpoint(), but fails for endpoints that no server can have: port 0, and an unspecified, multicast or
+ *  broadcast address. */
+Result<boost::asio::ip::tcp::endpoint> parseServerEndpoint(const std::string& text);
+
 /** Opens a listening socket on "host:port"; the address may be in use by connections that are closing. */
 Result<void> openListener(boost::asio::ip::tcp::acceptor&, const std::string& address);
 
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -28,13 +28,31 @@
     if (colon == std::string::npos)
         return makeError(ErrorCode::InvalidArgument, "parse address", text, "expected host:port");
     const auto port = parseNumber(std::string_view(text).substr(colon + 1));
+    auto hostText = text.substr(0, colon);
+    const bool isBracketed = hostText.size() >= 2 && hostText.front() == '[' && hostText.back() == ']';
+    if (isBracketed)
+        hostText = hostText.substr(1, hostText.size() - 2);
     error_code ec;
-    const auto host = asio::ip::make_address(text.substr(0, colon), ec);
-    if (ec || !port || *port > 65'535)
+    const auto host = asio::ip::make_address(hostText, ec);
+    if (ec || (isBracketed && !host.is_v6()) || !port || *port > 65'535)
         return makeError(ErrorCode::InvalidArgument, "parse address", text, "expected an IP address and a port");
     return asio::ip::tcp::endpoint(host, static_cast<std::uint16_t>(*port));
 }
 
+Result<asio::ip::tcp::endpoint> parseServerEndpoint(const std::string& text)
+{
+    auto endpoint = parseEndpoint(text);
+    if (!endpoint)
+        return endpoint;
+    auto host = endpoint->address();
+    if (host.is_v6() && host.to_v6().is_v4_mapped())
+        host = asio::ip::make_address_v4(asio::ip::v4_mapped, host.to_v6());
+    const bool isBroadcast = host.is_v4() && host.to_v4() == asio::ip::address_v4::broadcast();
+    if (endpoint->port() == 0 || host.is_unspecified() || host.is_multicast() || isBroadcast)
+        return makeError(ErrorCode::InvalidArgument, "parse address", text, "expected the address of one server");
+    return endpoint;
+}
+
 Result<void> openListener(asio::ip::tcp::acceptor& acceptor, const std::string& address)
 {
     const auto endpoint = parseEndpoint(address);
