--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/Codec.h"
 
+#include "base/Names.h"
 #include "peer.pb.h"
 
 #include <google/protobuf/stubs/logging.h>
@@ -13,7 +14,6 @@
 
 namespace {
 
-    constexpr std::size_t maximumNameBytes = 255;
     constexpr int maximumItems = 100000;
     // An age beyond this is no less useless; the bound keeps sums of ages far from overflow.
     constexpr std::uint64_t maximumDurationMicroseconds = 366ULL * 24 * 3600 * 1000000;
@@ -31,10 +31,8 @@
 
     const std::string& name(const std::string& value)
     {
-        require(value.size() <= maximumNameBytes, "name too long");
-        // Names end up in log lines and JSON; protobuf has checked that they are UTF-8.
-        require(std::none_of(value.begin(), value.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; }),
-            "control character in a name");
+        // Protobuf has checked that the text is UTF-8.
+        require(value.empty() || isName(value), "name too long or with a control character");
         return value;
     }
 
