base, platform: refuse JSON that is nested more than 100 levels deep

A settings file of 2 MB whose member "listen" holds a value of a million levels ended peridot-entry (exit code 139), also while it runs, because it reads the file every 5 s. JsonReader ended its programs in the same way when it named such a value in an error. Parsing and destroying a value are iterative; copying it (decodePlatformSettings) and printing it (JsonReader) call themselves for each level. Server entries, configurations and instance rows are neither copied nor printed today, so they took no harm.

parseJson() looks for the depth in the text before it parses, so that no later use of a document has to care, and a value of many levels takes no memory.

--- a/libs/base/include/base/JsonReader.h
+++ b/libs/base/include/base/JsonReader.h
@@ -18,18 +18,22 @@
 
 namespace peridot {
 
-/** Parses JSON text that may hold comments. @p source names the text in errors. */
-Result<nlohmann::json> parseJsonWithComments(std::string_view text, const std::string& source);
-
-/** Reads and parses a file of JSON with comments. */
-Result<nlohmann::json> readJsonFile(const std::string& path);
-
-/** Thrown inside a reading function by JsonReader; readSettings turns it into an Error. */
+/** Thrown by parseJson(), and inside a reading function by JsonReader; readSettings turns it into an Error. */
 class JsonReaderError : public std::runtime_error {
 public:
     using std::runtime_error::runtime_error;
 };
 
+/** Parses JSON text from another process. Throws an exception of the JSON library if it is invalid, and JsonReaderError
+ *  if it is nested too deeply: copying and printing a value recurse for each level. */
+nlohmann::json parseJson(std::string_view text);
+
+/** As parseJson(), but the text may hold comments. @p source names the text in errors. */
+Result<nlohmann::json> parseJsonWithComments(std::string_view text, const std::string& source);
+
+/** Reads and parses a file of JSON with comments. */
+Result<nlohmann::json> readJsonFile(const std::string& path);
+
 /** Reads the members of one JSON object. Call finish() after the last member. */
 class JsonReader {
 public:
--- a/libs/base/src/JsonReader.cpp
+++ b/libs/base/src/JsonReader.cpp
@@ -14,6 +14,48 @@
 
     constexpr std::size_t longestValueInError = 80;
 
+    constexpr std::size_t maximumNesting = 100;
+
+    /** A slash outside of strings begins a comment; where comments are not allowed, parsing ends there. */
+    bool isNestedTooDeeply(std::string_view text) noexcept
+    {
+        constexpr std::string_view lineEnds("\n\r\0", 3);
+        std::size_t depth = 0;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            switch (text[i]) {
+            case '"':
+                for (++i; i < text.size() && text[i] != '"'; ++i)
+                    i += text[i] == '\\' ? 1 : 0;
+                break;
+            case '/':
+                i = text.substr(i, 2) == "/*" ? text.find("*/", i + 2) : text.find_first_of(lineEnds, i);
+                if (i == std::string_view::npos)
+                    return false;
+                i += text[i] == '*' ? 1 : 0;
+                break;
+            case '[':
+            case '{':
+                if (++depth > maximumNesting)
+                    return true;
+                break;
+            case ']':
+            case '}':
+                depth -= depth > 0 ? 1 : 0;
+                break;
+            default:
+                break;
+            }
+        }
+        return false;
+    }
+
+    nlohmann::json parse(std::string_view text, bool mayHoldComments)
+    {
+        if (isNestedTooDeeply(text))
+            throw JsonReaderError(fmt::format("nested more than {} levels deep", maximumNesting));
+        return nlohmann::json::parse(text.begin(), text.end(), nullptr, true, mayHoldComments);
+    }
+
     std::string shorten(const nlohmann::json& value)
     {
         std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -24,11 +66,13 @@
 
 }
 
+nlohmann::json parseJson(std::string_view text) { return parse(text, false); }
+
 Result<nlohmann::json> parseJsonWithComments(std::string_view text, const std::string& source)
 {
     try {
-        return nlohmann::json::parse(text.begin(), text.end(), nullptr, true, true);
-    } catch (const nlohmann::json::exception& error) {
+        return parse(text, true);
+    } catch (const std::exception& error) {
         return makeError(ErrorCode::InvalidSettings, "parse JSON", source, error.what());
     }
 }
--- a/libs/base/tests/JsonReaderTest.cpp
+++ b/libs/base/tests/JsonReaderTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(rejectsWrongTypeWithPath);
     CPPUNIT_TEST(rejectsValueOutOfRange);
     CPPUNIT_TEST(rejectsBrokenJson);
+    CPPUNIT_TEST(rejectsDeepNesting);
     CPPUNIT_TEST_SUITE_END();
 
     static Result<std::int64_t> readPort(const std::string& text)
@@ -65,6 +66,30 @@
         CPPUNIT_ASSERT(!port);
         CPPUNIT_ASSERT(port.error().code == ErrorCode::InvalidSettings);
     }
+
+    /** An error quotes the value that it found. Printing one of a million levels would overflow the stack. */
+    void rejectsDeepNesting()
+    {
+        for (const std::size_t levels : { std::size_t { 101 }, std::size_t { 1'000'000 } }) {
+            std::string objects;
+            for (std::size_t i = 0; i < levels; ++i)
+                objects += "{\"a\":";
+            for (const auto& value :
+                { std::string(levels, '[') + std::string(levels, ']'), objects + "1" + std::string(levels, '}') }) {
+                for (const auto& text : { value, R"({"listeners":[{"port":)" + value + "}]}", "// [\r" + value,
+                         std::string("//\0", 3) + value, "/* \" */" + value }) {
+                    const auto port = readPort(text);
+                    CPPUNIT_ASSERT(!port);
+                    CPPUNIT_ASSERT(port.error().code == ErrorCode::InvalidSettings);
+                    CPPUNIT_ASSERT(port.error().message.size() < 200);
+                }
+            }
+        }
+        const std::string open(1'000, '[');
+        CPPUNIT_ASSERT(readPort("{ // " + open + "\n /*" + open + R"(*/ "listeners":[{"port":80}]})"));
+        CPPUNIT_ASSERT(parseJsonWithComments("[\"\\\"" + open + "\", 1]", "test"));
+        CPPUNIT_ASSERT(parseJsonWithComments(std::string(100, '[') + std::string(100, ']'), "test"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JsonReaderTest);
