base: cut values of log lines after 1,000 bytes

An error of the JSON library quotes the token that it couldn't read, and a server entry, a configuration or a request may hold one of a megabyte: a long number, a long string that breaks off, an unknown zone or state. The line was logged whole. peridot-entry queues up to 2,048 lines and lets 200 of an event through at once, so that entries that are refused again and again could take more memory than an instance has.

LogLine cuts each value between two characters, wherever it comes from, so that no decoder has to think of it.

The test longValuesAreCut failed on the code before (a value of 1,001 bytes came out whole). base-tests: OK (12).

--- a/libs/base/include/base/LogLine.h
+++ b/libs/base/include/base/LogLine.h
@@ -16,6 +16,7 @@
     /** Starts the line with `event=<event>`. */
     explicit LogLine(std::string_view event);
 
+    /** Long values are cut, because some quote input of other programs. */
     LogLine& add(std::string_view key, std::string_view value);
     LogLine& add(std::string_view key, const char* value) { return add(key, std::string_view(value)); }
     LogLine& add(std::string_view key, const std::string& value) { return add(key, std::string_view(value)); }
--- a/libs/base/src/LogLine.cpp
+++ b/libs/base/src/LogLine.cpp
@@ -11,6 +11,19 @@
 
 namespace {
 
+    constexpr std::size_t maximumValueBytes = 1'000;
+
+    /** Cuts between characters of UTF-8. */
+    std::string_view beginningOf(std::string_view value)
+    {
+        constexpr std::size_t maximumCharacterBytes = 4;
+        auto size = maximumValueBytes;
+        while (size > maximumValueBytes - maximumCharacterBytes
+            && (static_cast<unsigned char>(value[size]) & 0xc0) == 0x80)
+            --size;
+        return value.substr(0, size);
+    }
+
     bool needsQuotes(std::string_view value)
     {
         return value.empty() || std::any_of(value.begin(), value.end(), [](char c) {
@@ -46,6 +59,9 @@
 
 LogLine& LogLine::add(std::string_view key, std::string_view value)
 {
+    std::string cut;
+    if (value.size() > maximumValueBytes)
+        value = cut = std::string(beginningOf(value)) + "...";
     m_text += ' ';
     m_text += key;
     m_text += '=';
--- a/libs/base/tests/LogLineTest.cpp
+++ b/libs/base/tests/LogLineTest.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(writesPairs);
     CPPUNIT_TEST(quotesForgedPairs);
     CPPUNIT_TEST(escapesLineBreaks);
+    CPPUNIT_TEST(longValuesAreCut);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -35,6 +36,21 @@
         line.add("path", "x\nevent=fake");
         CPPUNIT_ASSERT_EQUAL(std::string("event=route path=\"x\\x0aevent=fake\""), line.text());
     }
+
+    /** Errors quote input of other programs, such as a number of a megabyte. Thousands of lines are queued, so that
+     *  long ones would take more memory than the process may have. */
+    void longValuesAreCut()
+    {
+        const auto textOf = [](const std::string& value) { return LogLine("e").add("v", value).text(); };
+        CPPUNIT_ASSERT_EQUAL("event=e v=" + std::string(1'000, 'x'), textOf(std::string(1'000, 'x')));
+        CPPUNIT_ASSERT_EQUAL("event=e v=" + std::string(1'000, 'x') + "...", textOf(std::string(1'001, 'x')));
+        CPPUNIT_ASSERT_EQUAL("event=e v=\"" + std::string(999, ' ') + "x...\"",
+            textOf(std::string(999, ' ') + "x" + std::string(9, ' ')));
+        CPPUNIT_ASSERT(textOf(std::string(1'000'000, '\n')).size() < 4'100);
+        // A character of several bytes is left out whole.
+        CPPUNIT_ASSERT_EQUAL(
+            "event=e v=" + std::string(999, 'x') + "...", textOf(std::string(999, 'x') + "\u010d\u010d"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogLineTest);
