base: keep durations from seconds within bounds

The conversion of such a number to an integer is undefined; on one machine it gives the longest wait, on another a negative one, and the next sum overflows. It now stops at 1e9 s, the bound of parseDuration, and takes what is no number as 0.

--- a/libs/base/include/base/Time.h
+++ b/libs/base/include/base/Time.h
@@ -36,9 +36,13 @@
 
 constexpr double toSeconds(Duration duration) noexcept { return std::chrono::duration<double>(duration).count(); }
 
-/** Cuts off parts of a microsecond. */
+/** Cuts off parts of a microsecond. The result is at most some 30 years, so that sums of durations and times of the
+ *  clock don't overflow, and 0 if @p seconds is no number. */
 constexpr Duration fromSeconds(double seconds) noexcept
 {
+    constexpr double longest = 1e9;
+    if (!(seconds >= -longest && seconds <= longest))
+        seconds = seconds > 0 ? longest : seconds < 0 ? -longest : 0;
     return Duration { static_cast<Duration::rep>(seconds * 1e6) };
 }
 
