steering, platform: an entry that is refused again is no news

An instance that reads the servers' table leaves out rows that change nothing, such as heartbeats. An entry that could not be decoded always counted as news: each time that its writer renewed it, the reader logged it, built the list of servers of all services anew, and answered the held pulls of all instances of its region, which did the same. Followers never stopped at such a row, nor read the table again because of it.

ServerRegistry remembers which entries exist and are refused. Such a row is news when an entry becomes unusable and when it is usable or gone again.

--- a/libs/steering/include/steering/ServerRegistry.h
+++ b/libs/steering/include/steering/ServerRegistry.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace peridot {
@@ -33,8 +34,10 @@
     void replace(const std::vector<ListedServer>&, TimePoint now);
     /** Adds a server or replaces its entry. */
     void put(ListedServer);
-    /** Handles an entry that no longer exists or no longer describes a usable server. */
+    /** Handles an entry that no longer exists. */
     void remove(const BackendServerId&, TimePoint now);
+    /** Handles an entry that does not describe a usable server. */
+    void refuse(const BackendServerId&, TimePoint now);
     /** Decides whether the missing entries expired in an outage or their servers left, and drops those of servers
      *  that left. Call it after a series of calls of remove(). */
     void resolveMissing();
@@ -48,6 +51,8 @@
     std::vector<ListedServer> servers() const;
     /** Whether put() of this server would change nothing but, slightly, the time until which it is cold. */
     bool isCurrent(const ListedServer&, TimePoint now) const;
+    /** Whether the newest entry of the server was refused, so that refusing it again changes nothing. */
+    bool isRefused(const BackendServerId& id) const { return m_refused.contains(id); }
 
 private:
     struct Entry {
@@ -60,6 +65,7 @@
 
     const ServerRegistryOptions m_options;
     std::map<BackendServerId, Entry> m_entries;
+    std::set<BackendServerId> m_refused; // Entries that exist and were refused.
     std::optional<TimePoint> m_contactLostAt;
     std::optional<TimePoint> m_keepMissingUntil; // Set after each outage.
 };
--- a/libs/steering/src/ServerRegistry.cpp
+++ b/libs/steering/src/ServerRegistry.cpp
@@ -1,7 +1,6 @@
 #include "steering/ServerRegistry.h"
 
 #include <algorithm>
-#include <set>
 
 namespace peridot {
 
@@ -15,6 +14,7 @@
 
 void ServerRegistry::replace(const std::vector<ListedServer>& servers, TimePoint now)
 {
+    m_refused.clear();
     std::set<BackendServerId> present;
     for (const auto& server : servers) {
         present.insert(server.id);
@@ -33,11 +33,19 @@
 void ServerRegistry::put(ListedServer server)
 {
     const auto id = server.id;
+    m_refused.erase(id);
     m_entries.insert_or_assign(id, Entry { std::move(server), std::nullopt });
 }
 
+void ServerRegistry::refuse(const BackendServerId& id, TimePoint now)
+{
+    remove(id, now);
+    m_refused.insert(id);
+}
+
 void ServerRegistry::remove(const BackendServerId& id, TimePoint now)
 {
+    m_refused.erase(id);
     const auto it = m_entries.find(id);
     if (it == m_entries.end())
         return;
--- a/libs/steering/tests/ServerRegistryTest.cpp
+++ b/libs/steering/tests/ServerRegistryTest.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
+
 using namespace peridot;
 using namespace std::chrono_literals;
 
@@ -40,6 +42,7 @@
     CPPUNIT_TEST(fewMissingEntriesAreDroppedAtOnce);
     CPPUNIT_TEST(onlyHeartbeatsLeaveAnEntryCurrent);
     CPPUNIT_TEST(shortOutageKeepsNoMissingEntries);
+    CPPUNIT_TEST(refusedEntryIsNewsOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -140,6 +143,28 @@
         registry.remove(known.id, start + 10s);
         CPPUNIT_ASSERT(!registry.isCurrent(known, start + 10s));
     }
+
+    /** Another writer may renew an entry that nobody can use as often as servers send heartbeats. Each time it would
+     *  wake all instances of the region and build the list of servers anew. */
+    void refusedEntryIsNewsOnce()
+    {
+        ServerRegistry registry({});
+        registry.replace(servers(3), start);
+        CPPUNIT_ASSERT(!registry.isRefused(server(1).id));
+        registry.refuse(server(1).id, start);
+        registry.resolveMissing();
+        CPPUNIT_ASSERT(registry.isRefused(server(1).id));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, registry.servers().size());
+        registry.put(server(1));
+        CPPUNIT_ASSERT(!registry.isRefused(server(1).id));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, registry.servers().size());
+        for (const auto& forget : { std::function<void()>([&] { registry.remove(server(1).id, start); }),
+                 std::function<void()>([&] { registry.replace(servers(3), start); }) }) {
+            registry.refuse(server(1).id, start);
+            forget();
+            CPPUNIT_ASSERT(!registry.isRefused(server(1).id));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerRegistryTest);
