wire: send rates beyond the bound as the bound

A peer refuses a whole message with a rate above 1e9, and the encoder wrote any. A configuration may give a route a target latency of years (durations go up to 1e9 s); the work that is expected of its requests, in seconds per second, is then beyond that bound, and each heartbeat of the instances that get such requests would be refused: the instances lose one another.

The test highRatesAreReadable failed on the code before ("Expression: decoded.has_value()"). wire-tests: OK (10).

--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -125,10 +125,11 @@
         return { from.is_reachable(), duration(from.age_us()) };
     }
 
+    constexpr double highestRate = 1e9;
+
     double boundedRate(double rate)
     {
-        constexpr double highest = 1e9;
-        if (!(rate >= 0 && rate <= highest))
+        if (!(rate >= 0 && rate <= highestRate))
             throw DecodeError { "a rate is out of range" };
         return rate;
     }
@@ -139,7 +140,7 @@
         to.set_slots(from.slots);
         to.set_in_flight(from.inFlight);
         to.set_queued(from.queued);
-        to.set_offered(from.offered);
+        to.set_offered(std::min(from.offered, highestRate));
     }
 
     ServiceLoad read(const proto::ServiceLoad& from)
@@ -163,7 +164,7 @@
     void write(const WorkspaceDemand& from, proto::WorkspaceDemand& to)
     {
         to.set_workspace(from.workspace.value());
-        to.set_requests_per_second(from.requestsPerSecond);
+        to.set_requests_per_second(std::min(from.requestsPerSecond, highestRate));
     }
 
     WorkspaceDemand read(const proto::WorkspaceDemand& from)
--- a/libs/wire/tests/CodecTest.cpp
+++ b/libs/wire/tests/CodecTest.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(fieldsSurvive);
     CPPUNIT_TEST(mutatedInputIsAnErrorOrAMessage);
     CPPUNIT_TEST(outOfRangeValuesAreErrors);
+    CPPUNIT_TEST(highRatesAreReadable);
     CPPUNIT_TEST(heartbeatIsCompact);
     CPPUNIT_TEST_SUITE_END();
 
@@ -187,6 +188,22 @@
         CPPUNIT_ASSERT(!decode(encode(noDeployment)).has_value());
     }
 
+    // A service whose requests are expected to take years offers a load beyond the bound of rates. Peers must not
+    // refuse the whole message for it.
+    void highRatesAreReadable()
+    {
+        for (const auto rate : { 1e9, 1e12, 1e300, std::numeric_limits<double>::infinity() }) {
+            auto sample = oneOfEach()[0];
+            auto& heartbeat = std::get<Heartbeat>(sample.message);
+            heartbeat.loads.front().offered = rate;
+            heartbeat.demands.front().requestsPerSecond = rate;
+            const auto decoded = decode(encode(sample));
+            CPPUNIT_ASSERT(decoded.has_value());
+            CPPUNIT_ASSERT_EQUAL(1e9, std::get<Heartbeat>(decoded->message).loads.front().offered);
+            CPPUNIT_ASSERT_EQUAL(1e9, std::get<Heartbeat>(decoded->message).demands.front().requestsPerSecond);
+        }
+    }
+
     // Four heartbeats and replies a second must stay far below 7 KB/s; 200 bytes each leave room for TCP and budgets.
     // A report on each server that names a limit or leaves comes in addition.
     void heartbeatIsCompact()
