base: names are UTF-8

Found by the extended fuzzer of documents (corpus/documents/instance-id-no-utf8): an instance entry under an id that is no UTF-8 was accepted, and protobuf refuses each message that names it. Rows pass between instances with keys of any bytes; the store's own rows can't have such keys, because they come in JSON. isName() checks it now, so that the names of all entries are those that peers accept.

--- a/libs/base/include/base/Names.h
+++ b/libs/base/include/base/Names.h
@@ -2,7 +2,6 @@
 
 #pragma once
 
-#include <algorithm>
 #include <cstddef>
 #include <string_view>
 
@@ -10,14 +9,9 @@
 
 constexpr std::size_t maximumNameBytes = 255;
 
-/** Whether peers accept the name. They refuse a whole message with one that they don't, so names from other sources
- *  have to be checked where they come in. Names end up in log lines, headers and JSON; an empty one is no name. */
-constexpr bool isName(std::string_view text) noexcept
-{
-    return !text.empty() && text.size() <= maximumNameBytes && std::none_of(text.begin(), text.end(), [](char c) {
-        const auto byte = static_cast<unsigned char>(c);
-        return byte < 0x20 || byte == 0x7f;
-    });
-}
+/** Whether peers accept the name: 1 to maximumNameBytes bytes of UTF-8 without control characters. They refuse a whole
+ *  message with another one, so names from other sources have to be checked where they come in. Names end up in log
+ *  lines, headers and JSON. */
+bool isName(std::string_view text) noexcept;
 
 }
