--- a/scripts/run-fuzzers.sh
+++ b/scripts/run-fuzzers.sh
@@ -37,3 +37,4 @@
 run fuzz-responses libs/http/fuzz/corpus/responses 8000
 run fuzz-envelopes libs/wire/fuzz/corpus/envelopes 400000
 run fuzz-documents platform/fuzz/corpus/documents 100000
+run fuzz-steering platform/fuzz/corpus/documents 10000
