--- a/libs/entry/include/entry/ServerConnections.h
+++ b/libs/entry/include/entry/ServerConnections.h
@@ -50,7 +50,9 @@
     /** Sets the maximum number of connections to each server. */
     void setLimit(std::size_t connectionsPerServer) { m_limit = connectionsPerServer; }
     /** Returns an idle or a new connection that has no open request and on which no request with this id was refused.
-     *  Returns null if the limit is reached or @p address is not a valid endpoint. */
+     *  Returns null if the limit is reached or @p address is not a valid endpoint. An idle connection whose end has
+     *  arrived isn't returned; if its end is still on the way, the request breaks, which the limits of the idle time
+     *  make rare. */
     std::shared_ptr<ClientConnection> acquire(
         const BackendServerId&, const std::string& address, bool isIdempotent, std::string_view requestId);
     /** Closes connections that have been idle for too long. To be called about once a second. */
--- a/libs/entry/src/ServerConnections.cpp
+++ b/libs/entry/src/ServerConnections.cpp
@@ -60,11 +60,18 @@
         server.address = address;
     }
     const auto now = ClientConnection::Clock::now();
-    const auto it = std::find_if(
-        server.idle.rbegin(), server.idle.rend(), [&](const auto& idle) { return !idle->hasRefused(requestId); });
-    if (it != server.idle.rend() && now - (*it)->idleSince() <= maximumIdleTime(**it, isIdempotent)) {
-        auto connection = *it;
-        server.idle.erase(std::next(it).base());
+    for (auto i = server.idle.size(); i-- > 0;) {
+        auto connection = server.idle[i];
+        if (now - connection->idleSince() > maximumIdleTime(*connection, isIdempotent))
+            break;
+        if (connection->hasRefused(requestId))
+            continue;
+        // The event that the server has closed the connection may not have been handled yet.
+        if (connection->hasUnreadInput()) {
+            connection->close(); // It leaves the idle ones.
+            continue;
+        }
+        server.idle.erase(server.idle.begin() + static_cast<std::ptrdiff_t>(i));
         return connection;
     }
     if (server.connectionCount >= m_limit && !server.idle.empty())
--- a/libs/entry/tests/PassedRequestTest.cpp
+++ b/libs/entry/tests/PassedRequestTest.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(lostInstanceIsReplacedByAnother);
     CPPUNIT_TEST(instanceThatCannotServeIsReplacedByAnother);
     CPPUNIT_TEST(requestWhoseConnectionIsBeingOpenedIsPassed);
+    CPPUNIT_TEST(connectionThatALeavingInstanceHasClosedIsNotUsed);
     CPPUNIT_TEST_SUITE_END();
 
     static SteeringOptions options(const std::string& instance)
@@ -193,6 +194,30 @@
         const auto& results = cut.steering.counters().results;
         CPPUNIT_ASSERT(results.contains(DispatchResult::Withdrawn) && !results.contains(DispatchResult::NotSent));
     }
+
+    /** Load pattern: the other instance leaves and closes its connections, and a busy process handles a caller's
+     * request before that. The other instance never read the request, but the caller was told that it may have run. */
+    void connectionThatALeavingInstanceHasClosedIsNotUsed()
+    {
+        CallerAndGateway cut(options("e-0"));
+        ServingInstance leaving(options("e-1"));
+        ServingInstance peer(options("e-2"));
+        cut.setRoute(false, 1);
+        detach(cut);
+        const EntryInstance self { InstanceId("e-0"), RegionId("jadran"), true, true, {} };
+        const EntryInstance other { InstanceId("e-1"), RegionId("jadran"), true, false, addressOf(leaving) };
+        cut.steering.setInstances({ self, other });
+        cut.send("/book/1", "a seat", "POST");
+        CPPUNIT_ASSERT_MESSAGE(cut.received, receives(cut, { &leaving }, "from the server"));
+        cut.received.clear();
+        // The own region's instance is preferred.
+        cut.steering.setInstances(
+            { self, other, { InstanceId("e-2"), RegionId("slavonija"), true, false, addressOf(peer) } });
+        cut.send("/book/2", "a seat", "POST");
+        leaving.callerServer.closeAll();
+        CPPUNIT_ASSERT_MESSAGE(cut.received, receives(cut, { &peer }, "from the server"));
+        CPPUNIT_ASSERT_EQUAL(std::string("a seat"), peer.seen);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PassedRequestTest);
--- a/libs/entry/tests/ServerConnectionsTest.cpp
+++ b/libs/entry/tests/ServerConnectionsTest.cpp
@@ -1,7 +1,11 @@
-// Checks over loopback sockets whether the process behind an address has ended.
+// Connections to servers on loopback sockets: which idle ones are reused, and checks whether the process behind an
+// address has ended.
 
 #include "entry/ServerConnections.h"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -39,10 +43,54 @@
     return result;
 }
 
+/** A server that the test plays by itself, with idle connections to it. */
+class ServerWithIdleConnections {
+public:
+    explicit ServerWithIdleConnections(std::size_t count)
+        : connections(context, {})
+        , acceptor(context, anyPort)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            idle.push_back(acquire());
+        for (const auto& connection : idle) {
+            std::optional<ExchangeResult> result;
+            connection->send(HttpRequest(boost::beast::http::verb::get, "/", 11), nullptr,
+                [&](ExchangeResult it) { result = std::move(it); });
+            run();
+            peers.push_back(acceptor.accept());
+            run();
+            std::vector<char> request(peers.back().available()); // A socket that closes with unread bytes resets.
+            asio::read(peers.back(), asio::buffer(request));
+            asio::write(peers.back(), asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+            run();
+            CPPUNIT_ASSERT(result && *result);
+        }
+    }
+
+    std::shared_ptr<ClientConnection> acquire()
+    {
+        return connections.acquire(BackendServerId("s"), addressOf(acceptor), false);
+    }
+
+    void run()
+    {
+        context.restart();
+        context.run_for(10ms);
+    }
+
+    asio::io_context context;
+    ServerConnections connections;
+    tcp::acceptor acceptor;
+    std::vector<std::shared_ptr<ClientConnection>> idle; // In the order in which they became idle.
+    std::vector<tcp::socket> peers; // The server's ends of them.
+};
+
 }
 
 class ServerConnectionsTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ServerConnectionsTest);
+    CPPUNIT_TEST(connectionThatTheServerHasClosedIsNotReused);
+    CPPUNIT_TEST(connectionWithUnreadBytesIsNotReused);
     CPPUNIT_TEST(refusedConnectionMeansEnded);
     CPPUNIT_TEST(serverThatListensHasNotEnded);
     CPPUNIT_TEST(connectionThatBreaksAtOnceHasFailed);
@@ -52,6 +100,34 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /** Load pattern: a busy process sends a request before it has handled the close of the connection. The server never
+     *  read the request, but it counted as one that may have run. */
+    void connectionThatTheServerHasClosedIsNotReused()
+    {
+        for (const bool isReset : { false, true }) {
+            ServerWithIdleConnections server(3);
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, server.connections.count());
+            for (const auto i : { 1, 2 }) {
+                if (isReset)
+                    server.peers[i].set_option(asio::socket_base::linger(true, 0));
+                server.peers[i].close();
+            }
+            CPPUNIT_ASSERT(server.acquire() == server.idle[0]);
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, server.connections.count());
+            const auto opened = server.acquire();
+            CPPUNIT_ASSERT(opened && !opened->isOpen());
+        }
+    }
+
+    /** Bytes that no request asked for would be taken for the response to the next one. */
+    void connectionWithUnreadBytesIsNotReused()
+    {
+        ServerWithIdleConnections server(2);
+        asio::write(server.peers[1], asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+        CPPUNIT_ASSERT(server.acquire() == server.idle[0]);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, server.connections.count());
+    }
+
     void refusedConnectionMeansEnded()
     {
         asio::io_context context;
--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -77,6 +77,9 @@
     /** Whether bytes of the newest request may have reached the server. */
     bool hasSent() const noexcept { return m_wasSent; }
     bool isOpen() const noexcept { return m_state == State::Open; }
+    /** Whether bytes or the end of the connection wait to be read. If they arrived without a request, the connection
+     *  can't be used for another one. */
+    bool hasUnreadInput();
     bool isBusy() const noexcept { return static_cast<bool>(m_onResult); }
     /** Whether a request was sent on this connection before the current one, so that a response to it may still
      *  arrive. */
--- a/libs/http/include/http/PendingInput.h
+++ b/libs/http/include/http/PendingInput.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace peridot {
@@ -14,7 +15,7 @@
     End, // The peer has closed its side, and all before was read.
 };
 
-/** Doesn't block and reads nothing. A broken connection counts as ended. */
+/** Doesn't block and reads nothing. A broken connection counts as ended; the next read no longer reports its error. */
 inline PendingInput pendingInput(boost::asio::ip::tcp::socket& socket)
 {
     char byte = 0;
@@ -26,4 +27,12 @@
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? PendingInput::None : PendingInput::End;
 }
 
+/** Whether a read would return at once, with bytes, the end or an error. Unlike pendingInput(), it leaves an error to
+ * the next read. */
+inline bool isReadable(boost::asio::ip::tcp::socket& socket)
+{
+    pollfd descriptor { socket.native_handle(), POLLIN, 0 };
+    return ::poll(&descriptor, 1, 0) > 0;
+}
+
 }
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -1,5 +1,7 @@
 #include "http/ClientConnection.h"
 
+#include "http/PendingInput.h"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/write.hpp>
@@ -92,6 +94,8 @@
         asio::post(m_context, [self = shared_from_this()] { self->fail("the connection is closed"); });
 }
 
+bool ClientConnection::hasUnreadInput() { return m_state == State::Open && isReadable(m_socket); }
+
 void ClientConnection::startResponseTimer(Duration timeout)
 {
     m_responseTimer.expires_after(timeout);
