http: take a response that has arrived before its timeout ends the exchange

What callers saw: a call of the store failed with "no response before the timeout" although the response was there. A write counted as one of unknown outcome and was repeated, a read began anew, and the table counted as out of reach.

Cause: ClientConnection ended an exchange when the timer's handler ran. After a pause of the process the timer can run before the response is read. A response of more than one read (16 KiB) comes in several turns of the loop, and the timer runs after the first of them. If more than 128 descriptors have events, asio's reactor puts due timers before the rest of them.

Fix: an overdue exchange is ended only after one turn of the loop, and later as long as the socket is readable. The next read of an overdue exchange takes all that the socket holds at that moment and the end of the connection behind it, and then the exchange ends. So a server that goes on sending puts off nothing (serverThatKeepsSendingIsTimedOut), and a reset stays one (brokenResponseThatWaitsAtTheTimeoutStaysBroken). Exchanges that are not overdue are read as before.

What remains: of a response larger than the receive window (64 KiB at first), the rest is still at the server when the process reads on, and doesn't count as arrived.

--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -69,7 +69,8 @@
         StateHandler onIdle, StateHandler onClosed);
 
     /** Sends the request once the connection is open. The handler is called exactly once unless close() comes first.
-     *  If no response has arrived after @p timeout, the exchange fails and the connection closes. */
+     *  If no response has arrived after @p timeout, the exchange fails and the connection closes. A response that has
+     *  arrived by then is taken, also if the process reads it late. */
     void send(HttpRequest, ResponseCheck, ResultHandler, std::optional<Duration> timeout = std::nullopt);
     /** Closes without calling the result handler; a running request is thereby cancelled. */
     void close();
@@ -80,6 +81,10 @@
     /** Whether bytes or the end of the connection wait to be read. If they arrived without a request, the connection
      *  can't be used for another one. */
     bool hasUnreadInput();
+    /** For an exchange whose time is over: whether input that arrived before is still to be handled. To be asked again
+     *  after a turn of the io_context. Once the result is false, the exchange may be ended for want of a response. A
+     *  server that goes on sending can't put that off. */
+    bool awaitsArrivedInput();
     bool isBusy() const noexcept { return static_cast<bool>(m_onResult); }
     /** Whether a request was sent on this connection before the current one, so that a response to it may still
      *  arrive. */
@@ -111,12 +116,15 @@
     void onWritten(const boost::system::error_code&);
     void read();
     void onRead(const boost::system::error_code&, std::size_t bytes);
+    void takeInput(const boost::system::error_code&, std::size_t bytes);
+    void readArrivedInput();
     void parse(bool isAtEnd);
     void takeResponse();
     void skipResponse();
     void fail(const std::string& message, bool isMalformed = false);
     void finish(ExchangeResult);
     void startResponseTimer(Duration timeout);
+    void endOverdue(std::uint64_t exchange);
     void resetParser();
 
     boost::asio::io_context& m_context;
@@ -144,6 +152,8 @@
     // has begun, which it must not end.
     std::uint64_t m_exchange = 0;
     std::vector<std::size_t> m_refused; // Hashes of the ids of refused requests.
+    bool m_isOverdue = false; // awaitsArrivedInput() was called during the current exchange.
+    bool m_hasReadOverdue = false; // All that had arrived at a time after that call was read.
     unsigned m_skippedResponses = 0; // Responses of the current exchange that answered other requests.
     bool m_wasSent = false;
     bool m_isWriting = false;
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -81,6 +81,8 @@
     m_onResult = std::move(onResult);
     m_wasSent = false;
     m_skippedResponses = 0;
+    m_isOverdue = false;
+    m_hasReadOverdue = false;
     ++m_exchange;
     if (timeout)
         startResponseTimer(*timeout);
@@ -100,11 +102,34 @@
 {
     m_responseTimer.expires_after(timeout);
     m_responseTimer.async_wait([self = shared_from_this(), exchange = m_exchange](const error_code& ec) {
-        if (!ec && self->m_onResult && self->m_exchange == exchange)
-            self->fail("no response before the timeout");
+        if (!ec)
+            self->endOverdue(exchange);
     });
 }
 
+void ClientConnection::endOverdue(std::uint64_t exchange)
+{
+    if (!m_onResult || m_exchange != exchange)
+        return;
+    if (!awaitsArrivedInput()) {
+        fail("no response before the timeout");
+        return;
+    }
+    asio::post(m_context, [self = shared_from_this(), exchange] { self->endOverdue(exchange); });
+}
+
+/** After a pause of the process, timers may run before the input that arrived in the meantime: a response can take
+ *  several reads, and one wait for events reports only so many descriptors. */
+bool ClientConnection::awaitsArrivedInput()
+{
+    if (m_state != State::Open || !m_wasSent)
+        return false;
+    // The socket no longer holds the input of a read whose handler has not run yet. It runs in the next turn.
+    if (!std::exchange(m_isOverdue, true))
+        return true;
+    return !m_hasReadOverdue && hasUnreadInput();
+}
+
 void ClientConnection::resetParser()
 {
     m_parser = std::make_unique<Parser>();
@@ -186,6 +211,15 @@
 }
 
 void ClientConnection::onRead(const error_code& ec, std::size_t bytes)
+{
+    takeInput(ec, bytes);
+    if (m_isOverdue)
+        readArrivedInput();
+    if (m_state == State::Open)
+        read();
+}
+
+void ClientConnection::takeInput(const error_code& ec, std::size_t bytes)
 {
     if (m_state != State::Open)
         return;
@@ -207,8 +241,22 @@
         return;
     }
     parse(false);
-    if (m_state == State::Open)
-        read();
+}
+
+/** Reads what the socket holds now, and the end of the connection behind it. */
+void ClientConnection::readArrivedInput()
+{
+    error_code ec;
+    m_socket.non_blocking(true, ec);
+    auto unread = m_socket.available(ec);
+    while (m_onResult && m_isOverdue && hasUnreadInput()) {
+        if (unread == 0 && m_socket.available(ec) > 0)
+            break; // It arrived later.
+        const auto bytes = m_socket.read_some(m_buffer.prepare(readSize), ec);
+        takeInput(ec, bytes);
+        unread -= std::min(unread, bytes);
+    }
+    m_hasReadOverdue = m_isOverdue; // A new exchange may have begun.
 }
 
 void ClientConnection::parse(bool isAtEnd)
--- a/libs/http/tests/ClientConnectionTest.cpp
+++ b/libs/http/tests/ClientConnectionTest.cpp
@@ -3,6 +3,9 @@
 #include "http/ClientConnection.h"
 #include "http/HttpServer.h"
 
+#include <boost/asio/local/connect_pair.hpp>
+#include <boost/asio/local/stream_protocol.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -10,6 +13,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <string>
 #include <thread>
@@ -81,6 +85,57 @@
     int closed = 0;
 };
 
+/** A request that the server has received. The process is paused until after its timeout. */
+class PausedExchange {
+public:
+    PausedExchange()
+    {
+        loopback.connection->send(
+            HttpRequest(http::verb::get, "/", 11), nullptr, [this](ExchangeResult it) { result = std::move(it); },
+            s_timeout);
+        loopback.run(20ms);
+        loopback.acceptor.accept(loopback.peer);
+        // Closing a socket with unread bytes would reset the connection.
+        std::vector<char> unread(loopback.peer.available());
+        asio::read(loopback.peer, asio::buffer(unread));
+    }
+
+    void respond(const std::string& headers, const std::string& body)
+    {
+        asio::write(loopback.peer, asio::buffer("HTTP/1.1 200 OK\r\n" + headers + "\r\n" + body));
+    }
+
+    void resumeAfterTimeout()
+    {
+        std::this_thread::sleep_for(s_timeout + 50ms);
+        loopback.run(100ms);
+    }
+
+    static constexpr std::chrono::milliseconds s_timeout { 300 };
+
+    Loopback loopback;
+    std::optional<ExchangeResult> result;
+};
+
+/** Sockets with unread bytes, each with a handler that waits for them. */
+class ManyReadableSockets {
+public:
+    ManyReadableSockets(asio::io_context& context, std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            m_sockets.emplace_back(context);
+            m_peers.emplace_back(context);
+            asio::local::connect_pair(m_sockets.back(), m_peers.back());
+            m_sockets.back().async_wait(asio::socket_base::wait_read, [](const error_code&) {});
+            asio::write(m_peers.back(), asio::buffer("-", 1));
+        }
+    }
+
+private:
+    std::vector<asio::local::stream_protocol::socket> m_sockets;
+    std::vector<asio::local::stream_protocol::socket> m_peers;
+};
+
 }
 
 class ClientConnectionTest : public CppUnit::TestFixture {
@@ -101,6 +156,11 @@
     CPPUNIT_TEST(bytesWithoutEndAreCutOff);
     CPPUNIT_TEST(silentServerEndsTheExchangeOnce);
     CPPUNIT_TEST(timeoutThatIsDueWithTheResponseSparesTheNextRequest);
+    CPPUNIT_TEST(longResponseThatWaitsAtTheTimeoutIsTaken);
+    CPPUNIT_TEST(responseBehindManyEventsIsTaken);
+    CPPUNIT_TEST(responseWithoutLengthThatWaitsAtTheTimeoutIsTaken);
+    CPPUNIT_TEST(brokenResponseThatWaitsAtTheTimeoutStaysBroken);
+    CPPUNIT_TEST(serverThatKeepsSendingIsTimedOut);
     CPPUNIT_TEST(requestIsNotSentIfConnectingOutlastsItsTimeout);
     CPPUNIT_TEST(announcedLengthBeyondTheLimitEndsTheExchange);
     CPPUNIT_TEST(refusalsAreRememberedWithABound);
@@ -274,6 +334,73 @@
         CPPUNIT_ASSERT(second && *second);
     }
 
+    /** Load pattern: the process is paused until after the timeout of a request whose whole response has arrived. The
+     *  response takes several reads, and the timer ran after the first of them. */
+    void longResponseThatWaitsAtTheTimeoutIsTaken()
+    {
+        PausedExchange exchange;
+        exchange.respond("Content-Length: 50000\r\n", std::string(50'000, '-'));
+        exchange.resumeAfterTimeout();
+        CPPUNIT_ASSERT(exchange.result && *exchange.result);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 50'000 }, (*exchange.result)->body().size());
+    }
+
+    /** Load pattern: after a pause, more connections have input than one wait for events reports. Timers come before
+     * the rest of them. */
+    void responseBehindManyEventsIsTaken()
+    {
+        PausedExchange exchange;
+        asio::steady_timer periodic(exchange.loopback.context, 1ms); // Other timers are due early in the pause.
+        periodic.async_wait([](const error_code&) {});
+        std::this_thread::sleep_for(10ms);
+        ManyReadableSockets others(exchange.loopback.context, 400);
+        exchange.respond("Content-Length: 2\r\n", "ok");
+        exchange.resumeAfterTimeout();
+        CPPUNIT_ASSERT(exchange.result && *exchange.result);
+    }
+
+    /** The end of the connection is part of such a response. */
+    void responseWithoutLengthThatWaitsAtTheTimeoutIsTaken()
+    {
+        PausedExchange exchange;
+        exchange.respond("", std::string(50'000, '-'));
+        exchange.loopback.peer.close();
+        exchange.resumeAfterTimeout();
+        CPPUNIT_ASSERT(exchange.result && *exchange.result);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 50'000 }, (*exchange.result)->body().size());
+    }
+
+    /** A look at the socket must not take the reset from it: what follows would look like the regular end. */
+    void brokenResponseThatWaitsAtTheTimeoutStaysBroken()
+    {
+        PausedExchange exchange;
+        exchange.respond("", std::string(50'000, '-'));
+        exchange.loopback.peer.set_option(asio::socket_base::linger(true, 0));
+        exchange.loopback.peer.close();
+        exchange.resumeAfterTimeout();
+        CPPUNIT_ASSERT(exchange.result && !*exchange.result);
+        CPPUNIT_ASSERT(exchange.result->error().wasSent);
+    }
+
+    /** A faulty server may send bytes without an end. Each look at its connection finds some. */
+    void serverThatKeepsSendingIsTimedOut()
+    {
+        PausedExchange exchange;
+        exchange.respond("Content-Length: 8000000\r\n", "-");
+        exchange.loopback.peer.non_blocking(true);
+        std::size_t sent = 0;
+        error_code ec;
+        std::function<void()> sendMore = [&] {
+            sent += exchange.loopback.peer.write_some(asio::buffer("-", 1), ec);
+            if (!exchange.result)
+                asio::post(exchange.loopback.context, sendMore);
+        };
+        sendMore();
+        exchange.resumeAfterTimeout();
+        CPPUNIT_ASSERT(exchange.result && !*exchange.result);
+        CPPUNIT_ASSERT(sent < 1'000);
+    }
+
     /** A faulty server may announce any length. Memory for the announced length must not be reserved (found by
      *  fuzz-responses). */
     void announcedLengthBeyondTheLimitEndsTheExchange()
