entry, steering: deliver a response that has arrived before the request's time is over

What callers saw: status 504 (timed out) for a request whose response had reached the instance in time.

Cause: the gateway's periodic check compared deadlines with the time at which its handler ran. The responses that had been read by then were those of the last wait for events, which may be long before in a process with little processor time, and a long response needs several turns of the loop.

Fix: TrafficSteering asks before it ends a request that is at a server or another instance whether its response may have arrived. The gateway looks at the connection (ClientConnection::awaitsArrivedInput()) and asks again in the next turn until all that had arrived was handled. A request without a response ends one turn of the loop later than before. The look is made for overdue requests only. A server that goes on sending puts off nothing (serverThatKeepsSendingDoesNotPutOffTheTimeout).

--- a/libs/entry/include/entry/RequestGateway.h
+++ b/libs/entry/include/entry/RequestGateway.h
@@ -73,6 +73,10 @@
     void report(RequestHandle, const SendReport&);
     void answer(RequestHandle, HttpResponse);
     void scheduleTick();
+    void tick();
+    void endOverdue();
+    /** Whether input that may belong to the response to an overdue request is still to be handled. */
+    bool mayHaveResponse(RequestHandle);
     void noteLoopDelay(Duration);
 
     boost::asio::io_context& m_context;
@@ -86,6 +90,8 @@
     RequestHandle m_lastHandle = 0;
     LatencyHistogram m_loopDelays;
     bool m_rejectsNewRequests = false;
+    bool m_hasSparedRequests = false; // Some requests are overdue, but may have a response.
+    bool m_isEndOverdueDue = false; // endOverdue() runs in the next turn of the io_context.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -90,11 +90,43 @@
             return;
         noteLoopDelay(
             std::chrono::duration_cast<Duration>(asio::steady_timer::clock_type::now() - m_tickTimer.expiry()));
-        perform(m_steering.tick(steadyNow()));
+        tick();
         scheduleTick();
     });
 }
 
+void RequestGateway::tick()
+{
+    perform(m_steering.tick(steadyNow(), [this](RequestHandle handle) { return mayHaveResponse(handle); }));
+    endOverdue();
+}
+
+/** Asks anew in the next turn about the overdue requests that were spared. */
+void RequestGateway::endOverdue()
+{
+    if (!m_hasSparedRequests || std::exchange(m_isEndOverdueDue, true))
+        return;
+    asio::post(m_context, [this, isAlive = m_isAlive] {
+        if (!*isAlive)
+            return;
+        m_isEndOverdueDue = false;
+        m_hasSparedRequests = false;
+        perform(m_steering.endOverdue(steadyNow(), [this](RequestHandle handle) { return mayHaveResponse(handle); }));
+        endOverdue();
+    });
+}
+
+bool RequestGateway::mayHaveResponse(RequestHandle handle)
+{
+    const auto it = m_requests.find(handle);
+    if (it == m_requests.end() || !it->second.connection)
+        return false;
+    // A tick between two turns must not count as a turn.
+    const bool mayHave = m_isEndOverdueDue || it->second.connection->awaitsArrivedInput();
+    m_hasSparedRequests = m_hasSparedRequests || mayHave;
+    return mayHave;
+}
+
 void RequestGateway::noteLoopDelay(Duration delay)
 {
     m_loopDelays.add(delay);
--- a/libs/entry/tests/GatewayTest.cpp
+++ b/libs/entry/tests/GatewayTest.cpp
@@ -12,6 +12,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <thread>
 
 using namespace peridot;
 using namespace std::chrono_literals;
@@ -153,6 +154,9 @@
     CPPUNIT_TEST(repeatedRefusalDoesNotCountForARequestSentAgain);
     CPPUNIT_TEST(refusalKeepsTheConnectionForOtherRequests);
     CPPUNIT_TEST(requestIsNotSentOnAConnectionThatTheServerHasClosed);
+    CPPUNIT_TEST(responseThatArrivesWhileAnotherHandlerRunsIsDelivered);
+    CPPUNIT_TEST(longResponseThatWaitsInTheSocketIsDelivered);
+    CPPUNIT_TEST(serverThatKeepsSendingDoesNotPutOffTheTimeout);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -309,6 +313,54 @@
         harness.answer("second");
         CPPUNIT_ASSERT(harness.receives("second"));
     }
+
+    /** Load pattern: the process gets no processor time for a while in the middle of its work. The periodic check took
+     *  the time of its own run for the time up to which responses had been read, and ended a request whose response
+     *  had arrived before the deadline. */
+    void responseThatArrivesWhileAnotherHandlerRunsIsDelivered()
+    {
+        GatewayAndRawServer harness;
+        harness.send("/1");
+        CPPUNIT_ASSERT(harness.serverReceives("/1"));
+        std::this_thread::sleep_for(30ms); // The periodic check is due.
+        boost::asio::steady_timer before(harness.context, std::chrono::steady_clock::now() - 1s);
+        before.async_wait([&](const boost::system::error_code&) {
+            harness.answer("in time");
+            std::this_thread::sleep_for(1s);
+        });
+        CPPUNIT_ASSERT_MESSAGE(harness.received, harness.receives("in time"));
+    }
+
+    /** Load pattern: the process is paused until after the deadline of a request whose whole response has arrived. The
+     *  response takes several reads, and the periodic check ran after the first of them. */
+    void longResponseThatWaitsInTheSocketIsDelivered()
+    {
+        GatewayAndRawServer harness;
+        harness.send("/1");
+        CPPUNIT_ASSERT(harness.serverReceives("/1"));
+        harness.answer(std::string(50'000, '-') + "end");
+        std::this_thread::sleep_for(900ms);
+        CPPUNIT_ASSERT(harness.receives("end"));
+    }
+
+    /** A faulty server may send bytes without an end. Each look at its connection finds some. */
+    void serverThatKeepsSendingDoesNotPutOffTheTimeout()
+    {
+        GatewayAndRawServer harness;
+        harness.send("/1");
+        CPPUNIT_ASSERT(harness.serverReceives("/1"));
+        harness.server.non_blocking(true);
+        boost::system::error_code ec;
+        harness.server.write_some(
+            boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n")), ec);
+        std::function<void()> sendMore = [&] {
+            harness.server.write_some(boost::asio::buffer("-", 1), ec);
+            if (!ec)
+                boost::asio::post(harness.context, sendMore);
+        };
+        sendMore();
+        CPPUNIT_ASSERT(harness.receives("timed_out"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -23,6 +23,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -240,6 +241,9 @@
  */
 class TrafficSteering {
 public:
+    /** Returns whether the response to a running request may have arrived although finished() was not called yet. */
+    using ResponseCheck = std::function<bool(RequestHandle)>;
+
     TrafficSteering(SteeringOptions, std::uint64_t seed, EventLog&);
     ~TrafficSteering();
     TrafficSteering(const TrafficSteering&) = delete;
@@ -285,8 +289,11 @@
     /** This instance answers nothing after @p end. A request that is not running is rejected, for another instance to
      *  serve, once it could not be answered before; one that is running is answered at @p end. */
     void endAt(TimePoint end) noexcept { m_end = end; }
-    /** Ends requests past their deadline and sends queued ones. Call it about every 20 ms while requests are open. */
-    SteeringActions tick(TimePoint now);
+    /** Ends requests past their deadline and sends queued ones. Call it about every 20 ms while requests are open.
+     *  Spares a request that is running if @p mayHaveResponse returns true; endOverdue() has to follow then. */
+    SteeringActions tick(TimePoint now, const ResponseCheck& mayHaveResponse = {});
+    /** Ends requests past their deadline, as tick() does. */
+    SteeringActions endOverdue(TimePoint now, const ResponseCheck& mayHaveResponse);
 
     const std::shared_ptr<const RouteTable>& routes() const noexcept { return m_routes; }
     std::size_t openRequests() const noexcept { return m_requests.size(); }
@@ -361,6 +368,7 @@
     void updateWorkTimes(Request&, Duration latency, std::size_t responseBytes);
     /** Whether the route's responses have been large so far. */
     bool hasLargeResponses(const Route&) const;
+    void endOverdue(TimePoint now, const ResponseCheck& mayHaveResponse, SteeringActions&);
     void erase(Request&);
     Duration boundedRetryAfter(Duration wanted, const Request&, TimePoint now) const;
     /** Applies the bounds, this instance's share of them and the evacuated domains to every service. */
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -1115,16 +1115,12 @@
     return actions;
 }
 
-SteeringActions TrafficSteering::tick(TimePoint now)
+SteeringActions TrafficSteering::tick(TimePoint now, const ResponseCheck& mayHaveResponse)
 {
     SteeringActions actions;
     m_knowledge.eventBegins(now);
-    std::vector<Request*> ended;
     std::set<BackendServerId> silent;
-    const bool hasEnded = m_end && *m_end <= now;
     for (const auto& [handle, request] : m_requests) {
-        if (hasEnded || request->answerDeadline <= now)
-            ended.push_back(request.get());
         if (request->runningAt && now - request->sentAt >= m_reach.silence() && silent.size() < 2)
             silent.insert(*request->runningAt);
     }
@@ -1133,6 +1129,39 @@
         beginProbes(false, now, actions);
     else if (!m_unconfirmedCrashes.empty() && !m_reach.isProbing())
         beginProbes(true, now, actions);
+    endOverdue(now, mayHaveResponse, actions);
+    for (const auto& [id, service] : m_services) {
+        service->offeredLoad.advance(now, true);
+        service->largeLoad.advance(now, true);
+        for (auto& [region, load] : service->boundLoads)
+            load.advance(now, true);
+        service->pool.tick(now, !service->queue.empty() || std::exchange(service->hasRejected, false));
+        dispatchQueue(*service, now, actions);
+    }
+    return actions;
+}
+
+SteeringActions TrafficSteering::endOverdue(TimePoint now, const ResponseCheck& mayHaveResponse)
+{
+    SteeringActions actions;
+    m_knowledge.eventBegins(now);
+    endOverdue(now, mayHaveResponse, actions);
+    for (const auto& [id, service] : m_services)
+        dispatchQueue(*service, now, actions);
+    return actions;
+}
+
+void TrafficSteering::endOverdue(TimePoint now, const ResponseCheck& mayHaveResponse, SteeringActions& actions)
+{
+    const bool hasEnded = m_end && *m_end <= now;
+    std::vector<Request*> ended;
+    for (const auto& [handle, request] : m_requests) {
+        if (!hasEnded && request->answerDeadline > now)
+            continue;
+        const bool isSent = request->runningAt || request->isAtPeer;
+        if (!isSent || !mayHaveResponse || !mayHaveResponse(handle))
+            ended.push_back(request.get());
+    }
     for (auto* request : ended) {
         if (request->isAtPeer) {
             actions.emplace_back(CancelSend { request->handle });
@@ -1148,15 +1177,6 @@
                 actions);
         }
     }
-    for (const auto& [id, service] : m_services) {
-        service->offeredLoad.advance(now, true);
-        service->largeLoad.advance(now, true);
-        for (auto& [region, load] : service->boundLoads)
-            load.advance(now, true);
-        service->pool.tick(now, !service->queue.empty() || std::exchange(service->hasRejected, false));
-        dispatchQueue(*service, now, actions);
-    }
-    return actions;
 }
 
 }
