http, entry, steering: don't blame a server for a connection that is found open late

What callers saw: after a pause of the process, requests were rejected with no_server, or went to servers further away, and a request that was being passed to another instance ended as one that may have run.

Cause: a connection that opens later than its timeout isn't used, because the request was decided too long ago. That was reported as "not sent", which ejects the server at once and counts as a sign that no server is reached. Whether the server or this process had been late was not told apart. The connect timer could also run before the event of an open connection.

Evidence, on the code before: connectionThatIsFoundOpenLateIsNotTheServersFault (the caller got 503 no_server, the only server was ejected) and instanceThatWasReachedTooLateIsNotUnable (a pass that was withdrawn was rejected, never passed on) failed.

Fix: if the connection has been opened or refused, the connect timer leaves the decision to that event. A connection that is found open too late ends the exchange with wasOpenedLate, and the send is reported as withdrawn: nothing was sent, the request is decided anew with what is known now, and nothing is held against the server or the instance. The deadline of the request bounds the repetitions.

--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -51,7 +51,9 @@
     /** Records an exchange over one of @p connections that ended without a response. */
     void recordFailure(const ExchangeError& error, ServerConnections& connections, SendReport& report)
     {
-        report.result = error.wasSent ? DispatchResult::Broken : DispatchResult::NotSent;
+        report.result = error.wasSent ? DispatchResult::Broken
+            : error.wasOpenedLate     ? DispatchResult::Withdrawn
+                                      : DispatchResult::NotSent;
         report.detail = error.message;
         if (error.wasSent && error.wasReused && !error.isMalformed)
             connections.onIdleConnectionBroken(error.idleTime);
--- a/libs/entry/tests/GatewayHarness.h
+++ b/libs/entry/tests/GatewayHarness.h
@@ -75,7 +75,12 @@
         , connections(context, connectionsOptions)
         , peers(context, {})
         , gateway(context, steering, protocol, connections, peers, log)
-        , callerServer(context, {}, 100, [this](const auto& exchange) { gateway.handle(exchange); })
+        , callerServer(context, {}, 100,
+              [this](const auto& exchange) {
+                  gateway.handle(exchange);
+                  if (onHandled)
+                      onHandled();
+              })
         , callerSocket(context)
     {
         CPPUNIT_ASSERT(callerServer.listen(onProcessLoopback()));
@@ -155,6 +160,7 @@
     HttpServer callerServer; // Accepts the callers' connections of the gateway.
     boost::asio::ip::tcp::socket callerSocket;
     std::string received; // All bytes that the caller has read.
+    std::function<void()> onHandled; // Called when the gateway has taken a request.
 };
 
 }
--- a/libs/entry/tests/GatewayTest.cpp
+++ b/libs/entry/tests/GatewayTest.cpp
@@ -157,6 +157,7 @@
     CPPUNIT_TEST(responseThatArrivesWhileAnotherHandlerRunsIsDelivered);
     CPPUNIT_TEST(longResponseThatWaitsInTheSocketIsDelivered);
     CPPUNIT_TEST(serverThatKeepsSendingDoesNotPutOffTheTimeout);
+    CPPUNIT_TEST(connectionThatIsFoundOpenLateIsNotTheServersFault);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -361,6 +362,21 @@
         sendMore();
         CPPUNIT_ASSERT(harness.receives("timed_out"));
     }
+
+    /** Load pattern: the process is paused while it opens a connection. The server accepted it at once, but it was
+     *  ejected, and a server that is the only one could not be used. */
+    void connectionThatIsFoundOpenLateIsNotTheServersFault()
+    {
+        ServerConnectionsOptions options;
+        options.connection.connectTimeout = 100ms;
+        GatewayAndRawServer harness(options);
+        harness.onHandled = [] { std::this_thread::sleep_for(150ms); };
+        harness.send("/1");
+        CPPUNIT_ASSERT_MESSAGE(harness.received, harness.serverReceives("/1"));
+        harness.answer("whole");
+        CPPUNIT_ASSERT(harness.receives("whole"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, harness.steering.counters().results.count(DispatchResult::NotSent));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -42,6 +42,7 @@
 
 struct ExchangeError {
     bool wasSent = false; // Bytes of the request may have reached the server.
+    bool wasOpenedLate = false; // The connection opened, but this process found it too late to send the request.
     bool isMalformed = false; // The server answered with bytes that are no acceptable response.
     bool wasReused = false; // The connection had served a request before.
     Duration idleTime { 0 }; // How long the connection had been idle before this request.
--- a/libs/http/include/http/PendingInput.h
+++ b/libs/http/include/http/PendingInput.h
@@ -35,4 +35,11 @@
     return ::poll(&descriptor, 1, 0) > 0;
 }
 
+/** Whether an attempt to connect has ended, successfully or not. */
+inline bool isWritable(boost::asio::ip::tcp::socket& socket)
+{
+    pollfd descriptor { socket.native_handle(), POLLOUT, 0 };
+    return ::poll(&descriptor, 1, 0) > 0;
+}
+
 }
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -153,7 +153,8 @@
     m_connectStart = Clock::now();
     m_connectTimer.expires_after(m_options.connectTimeout);
     m_connectTimer.async_wait([self = shared_from_this()](const error_code& timerEc) {
-        if (!timerEc && self->m_state == State::Connecting)
+        // If connecting has ended, onConnected() follows.
+        if (!timerEc && self->m_state == State::Connecting && !isWritable(self->m_socket))
             self->fail("connecting took too long");
     });
     m_socket.async_connect(
@@ -172,7 +173,11 @@
     // After a pause of the process the connection and its timeout are due together. The request was decided before.
     const auto connectTime = std::chrono::duration_cast<Duration>(Clock::now() - m_connectStart);
     if (connectTime > m_options.connectTimeout) {
-        fail("connecting took too long");
+        m_isRetired = true;
+        ExchangeError error;
+        error.wasOpenedLate = true;
+        error.message = "the open connection was found too late";
+        finish(tl::make_unexpected(std::move(error)));
         return;
     }
     m_state = State::Open;
@@ -362,7 +367,7 @@
 void ClientConnection::fail(const std::string& message, bool isMalformed)
 {
     m_isRetired = true;
-    finish(tl::make_unexpected(ExchangeError { m_wasSent, isMalformed, m_requests > 1, m_idleBefore, message }));
+    finish(tl::make_unexpected(ExchangeError { m_wasSent, false, isMalformed, m_requests > 1, m_idleBefore, message }));
 }
 
 void ClientConnection::close()
--- a/libs/steering/include/steering/ServicePool.h
+++ b/libs/steering/include/steering/ServicePool.h
@@ -32,7 +32,8 @@
     NotSent, // No byte of the request was sent.
     Broken, // Lost or malformed response; the request may have run.
     Cancelled, // The caller disconnected or its deadline passed.
-    Withdrawn, // By WithdrawSend; no byte of the request was sent.
+    Withdrawn, // No byte of the request was sent, and the server is not the cause: WithdrawSend, or this process was
+               // late.
 };
 
 template <>
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -468,8 +468,10 @@
             .add("instance", request.passedTo.back())
             .add("result", enumName(report.result))
             .add("detail", report.detail));
-    if (report.result == DispatchResult::NotSent || report.result == DispatchResult::Shed) {
-        m_unableUntil[request.passedTo.back()] = now + unableMemory;
+    const bool isUnable = report.result == DispatchResult::NotSent || report.result == DispatchResult::Shed;
+    if (isUnable || report.result == DispatchResult::Withdrawn) {
+        if (isUnable)
+            m_unableUntil[request.passedTo.back()] = now + unableMemory;
         if (tryPass(request, now, actions))
             return;
         if (countInQuota(request, now, actions))
--- a/libs/steering/tests/DetachedInstanceTest.cpp
+++ b/libs/steering/tests/DetachedInstanceTest.cpp
@@ -303,6 +303,7 @@
     CPPUNIT_TEST(cutOfAllInstancesIsRejectedAtOnce);
     CPPUNIT_TEST(homedRequestsArePassedWithinTheirHomes);
     CPPUNIT_TEST(passedRequestIsNotPassedAgainNorRepeated);
+    CPPUNIT_TEST(instanceThatWasReachedTooLateIsNotUnable);
     CPPUNIT_TEST(unableInstanceIsLeftOutForAWhile);
     CPPUNIT_TEST(passedRequestsAreNoLateAttempts);
     CPPUNIT_TEST(timeoutOfAPassedRequestCountsFromItsArrival);
@@ -429,6 +430,25 @@
         }));
     }
 
+    /** Load pattern: the process is paused while it connects to another instance. Nothing of the request was sent, and
+     *  the other instance isn't the cause. */
+    void instanceThatWasReachedTooLateIsNotUnable()
+    {
+        auto& it = detached({ { InstanceId("e-0"), jadran }, { InstanceId("e-1"), jadran, true, false, "1" },
+            { InstanceId("e-2"), jadran, true, false, "2" } });
+        auto actions = it.begin(1, request("/book/"), m_now);
+        CPPUNIT_ASSERT(only<PassToInstance>(actions));
+        const auto first = only<PassToInstance>(actions)->address;
+        SendReport late;
+        late.result = DispatchResult::Withdrawn;
+        actions = it.finished(1, late, m_now);
+        CPPUNIT_ASSERT(only<PassToInstance>(actions) && only<PassToInstance>(actions)->address != first);
+        std::set<std::string> addresses;
+        for (RequestHandle handle = 2; handle < 40; ++handle)
+            addresses.insert(only<PassToInstance>(it.begin(handle, request("/book/"), m_now))->address);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, addresses.size());
+    }
+
     /** Heartbeats tell about a second later that another instance is cut off as well. */
     void unableInstanceIsLeftOutForAWhile()
     {
