entry: judge a check of a server by its connection, not by the timer that runs first

What callers saw: nothing by itself, but two rounds of failed checks detach an instance from all servers, and its requests are then passed to other instances; a check that wrongly succeeds attaches an instance that reaches no server.

Cause: tryConnect() took the timer that ran for the result. If more than 128 descriptors have events, as after a pause of the process, asio's reactor puts due timers before the rest of them: the connection that had opened in time, or the end of one that broke within the settle time.

Evidence, on the code before: connectionThatOpenedInTimeIsFoundBehindManyEvents ("checked == ConnectOutcome::Connected") and connectionThatBreaksBehindManyEventsHasFailed ("checked == ConnectOutcome::Failed") failed.

Fix: at the attempt's timeout an attempt that has ended is left to its handler, which always follows; at the end of the settle time a connection that is readable has failed. The first test also covers the connect timer of ClientConnection.

--- a/libs/entry/src/ServerConnections.cpp
+++ b/libs/entry/src/ServerConnections.cpp
@@ -1,6 +1,7 @@
 #include "entry/ServerConnections.h"
 
 #include "http/HttpServer.h"
+#include "http/PendingInput.h"
 
 #include <boost/asio/post.hpp>
 
@@ -149,8 +150,9 @@
         return;
     }
     attempt->timer.expires_after(m_options.attemptTimeout);
-    attempt->timer.async_wait([finish](const error_code& ec) {
-        if (!ec)
+    attempt->timer.async_wait([finish, attempt](const error_code& ec) {
+        // If connecting has ended, its handler follows.
+        if (!ec && !isWritable(attempt->socket))
             finish(ConnectOutcome::Failed);
     });
     attempt->socket.async_connect(*endpoint, [finish, attempt, settleTime, isAlive = m_isAlive](const error_code& ec) {
@@ -168,9 +170,9 @@
         attempt->socket.async_read_some(asio::buffer(&attempt->byte, 1),
             [finish](const error_code&, std::size_t) { finish(ConnectOutcome::Failed); });
         attempt->timer.expires_after(settleTime);
-        attempt->timer.async_wait([finish](const error_code& timerEc) {
+        attempt->timer.async_wait([finish, attempt](const error_code& timerEc) {
             if (!timerEc)
-                finish(ConnectOutcome::Connected);
+                finish(isReadable(attempt->socket) ? ConnectOutcome::Failed : ConnectOutcome::Connected);
         });
     });
 }
--- a/libs/entry/tests/ServerConnectionsTest.cpp
+++ b/libs/entry/tests/ServerConnectionsTest.cpp
@@ -3,16 +3,22 @@
 
 #include "entry/ServerConnections.h"
 
+#include "support/ManyReadableSockets.h"
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace peridot;
@@ -85,6 +91,28 @@
     std::vector<tcp::socket> peers; // The server's ends of them.
 };
 
+/** Accepts connections a second late: the kernel drops the first attempt and takes the repeated one. */
+class LateListener {
+public:
+    explicit LateListener(asio::io_context& context)
+        : acceptor(context, anyPort)
+    {
+        sock_filter drop[] = { BPF_STMT(BPF_RET | BPF_K, 0) };
+        const sock_fprog filter { 1, drop };
+        CPPUNIT_ASSERT_EQUAL(
+            0, ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter));
+    }
+
+    void accept()
+    {
+        const int unused = 0;
+        CPPUNIT_ASSERT_EQUAL(
+            0, ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused));
+    }
+
+    tcp::acceptor acceptor;
+};
+
 }
 
 class ServerConnectionsTest : public CppUnit::TestFixture {
@@ -95,6 +123,8 @@
     CPPUNIT_TEST(serverThatListensHasNotEnded);
     CPPUNIT_TEST(connectionThatBreaksAtOnceHasFailed);
     CPPUNIT_TEST(serverThatDoesNotRespondHasNotEnded);
+    CPPUNIT_TEST(connectionThatOpenedInTimeIsFoundBehindManyEvents);
+    CPPUNIT_TEST(connectionThatBreaksBehindManyEventsHasFailed);
     CPPUNIT_TEST(checksOfOneAddressShareOneConnection);
     CPPUNIT_TEST(noResultAfterDestruction);
     CPPUNIT_TEST_SUITE_END();
@@ -187,6 +217,51 @@
         CPPUNIT_ASSERT(passed >= 290ms);
     }
 
+    /** Load pattern: after a pause the process has many connections with input, and its timers run before the event of
+     * the check's connection. Two rounds of such checks detached the instance from servers that had accepted in time.
+     */
+    void connectionThatOpenedInTimeIsFoundBehindManyEvents()
+    {
+        ServerConnectionsOptions options;
+        options.attemptTimeout = 1'500ms;
+        options.connection.connectTimeout = 1'500ms;
+        asio::io_context context;
+        ServerConnections connections(context, options);
+        LateListener listener(context);
+        std::optional<ConnectOutcome> checked;
+        connections.tryConnect(addressOf(listener.acceptor), 0ms, [&](ConnectOutcome it) { checked = it; });
+        std::optional<ExchangeResult> result;
+        connections.acquire(BackendServerId("s"), addressOf(listener.acceptor), false)
+            ->send(HttpRequest(boost::beast::http::verb::get, "/", 11), nullptr,
+                [&](ExchangeResult it) { result = std::move(it); });
+        context.run_for(10ms);
+        listener.accept();
+        const ManyReadableSockets others(context);
+        std::this_thread::sleep_for(1'700ms);
+        context.restart();
+        context.run_for(100ms);
+        CPPUNIT_ASSERT(checked == ConnectOutcome::Connected);
+        CPPUNIT_ASSERT(result && !*result && result->error().wasOpenedLate);
+    }
+
+    /** Load pattern: as above, but something on the way closes the connection within the settle time. A check that
+     *  missed that would take the instance for attached. */
+    void connectionThatBreaksBehindManyEventsHasFailed()
+    {
+        asio::io_context context;
+        ServerConnections connections(context, {});
+        tcp::acceptor acceptor(context, anyPort);
+        std::optional<ConnectOutcome> checked;
+        connections.tryConnect(addressOf(acceptor), 200ms, [&](ConnectOutcome it) { checked = it; });
+        context.run_for(10ms);
+        const ManyReadableSockets others(context);
+        acceptor.accept().close();
+        std::this_thread::sleep_for(300ms);
+        context.restart();
+        context.run_for(100ms);
+        CPPUNIT_ASSERT(checked == ConnectOutcome::Failed);
+    }
+
     /** Many requests may be at a server that ends. They must not open a connection each. */
     void checksOfOneAddressShareOneConnection()
     {
--- a/libs/http/tests/ClientConnectionTest.cpp
+++ b/libs/http/tests/ClientConnectionTest.cpp
@@ -2,9 +2,8 @@
 
 #include "http/ClientConnection.h"
 #include "http/HttpServer.h"
+#include "support/ManyReadableSockets.h"
 
-#include <boost/asio/local/connect_pair.hpp>
-#include <boost/asio/local/stream_protocol.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -117,25 +116,6 @@
     std::optional<ExchangeResult> result;
 };
 
-/** Sockets with unread bytes, each with a handler that waits for them. */
-class ManyReadableSockets {
-public:
-    ManyReadableSockets(asio::io_context& context, std::size_t count)
-    {
-        for (std::size_t i = 0; i < count; ++i) {
-            m_sockets.emplace_back(context);
-            m_peers.emplace_back(context);
-            asio::local::connect_pair(m_sockets.back(), m_peers.back());
-            m_sockets.back().async_wait(asio::socket_base::wait_read, [](const error_code&) {});
-            asio::write(m_peers.back(), asio::buffer("-", 1));
-        }
-    }
-
-private:
-    std::vector<asio::local::stream_protocol::socket> m_sockets;
-    std::vector<asio::local::stream_protocol::socket> m_peers;
-};
-
 }
 
 class ClientConnectionTest : public CppUnit::TestFixture {
@@ -350,10 +330,7 @@
     void responseBehindManyEventsIsTaken()
     {
         PausedExchange exchange;
-        asio::steady_timer periodic(exchange.loopback.context, 1ms); // Other timers are due early in the pause.
-        periodic.async_wait([](const error_code&) {});
-        std::this_thread::sleep_for(10ms);
-        ManyReadableSockets others(exchange.loopback.context, 400);
+        const ManyReadableSockets others(exchange.loopback.context);
         exchange.respond("Content-Length: 2\r\n", "ok");
         exchange.resumeAfterTimeout();
         CPPUNIT_ASSERT(exchange.result && *exchange.result);
