entry: don't skip a reader of a table for a pause of this instance

What callers saw: nothing by itself. After a pause an instance left its reader alone for 3 s and read the store instead; many instances that are paused together, as on a busy host, all did.

Cause: TableRelay::tick() ended pulls by the time of the tick, while the reader's answers waited behind it.

Evidence, on the code before: readerIsNotSkippedForAPauseOfThisInstance failed ("peer.results[0].has_value()").

Fix: the first tick after a pause of more than 200 ms spares each overdue pull, once, so that a process that is late at each tick still finds out (pausesDoNotHideAnUnresponsiveReader). In a process that runs, pulls end as before.

--- a/libs/entry/include/entry/TableRelay.h
+++ b/libs/entry/include/entry/TableRelay.h
@@ -45,6 +45,8 @@
     // After a failed call of the store, an instance that is not a reader makes no further call for this long and pulls
     // from the readers instead, because the store may have failed for this instance only.
     Duration failedStoreBackoff = std::chrono::seconds { 3 };
+    // A longer time between two ticks is a pause of the process. Answers may wait behind the first tick after it.
+    Duration longestTick = std::chrono::milliseconds { 200 };
 };
 
 enum class PullFailure {
@@ -123,6 +125,7 @@
         TimePoint sent;
         TimePoint deadline;
         PullHandler handler;
+        bool isSpared = false; // It was overdue at the first tick after a pause.
     };
 
     struct HeldPull {
@@ -171,6 +174,7 @@
     // table has failed.
     std::optional<TimePoint> m_nextDirectRead;
     std::uint64_t m_sequence = 0;
+    std::optional<TimePoint> m_lastTick;
 };
 
 }
--- a/libs/entry/src/TableRelay.cpp
+++ b/libs/entry/src/TableRelay.cpp
@@ -191,9 +191,13 @@
         }
         std::erase_if(table.held, hasExpired);
     }
+    const bool wasPaused = m_lastTick && now - *m_lastTick > m_options.longestTick;
+    m_lastTick = now;
     std::vector<OpenPull> expired;
     for (auto it = m_openPulls.begin(); it != m_openPulls.end();) {
-        if (it->second.deadline > now) {
+        const bool isOverdue = it->second.deadline <= now;
+        // Once only: a process with little processor time may be late at each tick.
+        if (!isOverdue || (wasPaused && !std::exchange(it->second.isSpared, true))) {
             ++it;
             continue;
         }
--- a/libs/entry/tests/TableRelayTest.cpp
+++ b/libs/entry/tests/TableRelayTest.cpp
@@ -122,6 +122,8 @@
     CPPUNIT_TEST(pullWaitsForTheFirstAnswerOfTheStore);
     CPPUNIT_TEST(pullFailsIfTheStoreDoesNotRespond);
     CPPUNIT_TEST(unresponsiveReaderIsSkipped);
+    CPPUNIT_TEST(readerIsNotSkippedForAPauseOfThisInstance);
+    CPPUNIT_TEST(pausesDoNotHideAnUnresponsiveReader);
     CPPUNIT_TEST(versionBeforeTheHistoryIsNotAnswered);
     CPPUNIT_TEST(transitTimeCountsAsAge);
     CPPUNIT_TEST(rowThatChangedTwiceIsSentOnce);
@@ -238,6 +240,43 @@
         CPPUNIT_ASSERT(peer.results[1].has_value());
     }
 
+    // Load pattern: the process is paused while a pull is open. The reader has answered in time, but its answer waits
+    // behind the first tick after the pause. Many instances that are paused together would all read the store instead.
+    void readerIsNotSkippedForAPauseOfThisInstance()
+    {
+        Region region;
+        auto& reader = region.addReader("a");
+        region.add("b");
+        auto& peer = region.add("c");
+        region.advance(milliseconds { 100 });
+        region.pullAndDeliver("c", 10, seconds { 1 });
+        region.now += seconds { 1 };
+        reader.tick(region.now);
+        region.now += seconds { 1 };
+        peer.relay.tick(region.now);
+        region.deliver();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, peer.results.size());
+        CPPUNIT_ASSERT(peer.results[0].has_value());
+        CPPUNIT_ASSERT(peer.relay.canPull(region.now));
+    }
+
+    // A process with little processor time may be late at each tick.
+    void pausesDoNotHideAnUnresponsiveReader()
+    {
+        Region region;
+        region.add("a");
+        region.add("b");
+        auto& peer = region.add("c");
+        region.stopped = { "a" };
+        region.pullAndDeliver("c", 10, seconds { 1 });
+        for (int i = 0; i < 4; ++i) {
+            region.now += milliseconds { 500 };
+            peer.relay.tick(region.now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, peer.results.size());
+        CPPUNIT_ASSERT(!peer.results[0].has_value());
+    }
+
     // A peer whose version is older than the reader's history would miss the changes in between.
     void versionBeforeTheHistoryIsNotAnswered()
     {
