entry: keep a table's history if the store's response waits behind its timer

What callers saw: nothing by itself. After a pause of a reader of a table the instances of its region read the store themselves.

Cause: the timer that discards the history of a table whose call is overdue ran before the response that had arrived during the pause.

Evidence, on the code before: pausedReaderKeepsItsHistory failed in 3 of 3 runs (the other instance made 2 calls to the store after one pause of 1 s, 0 were expected).

Fix: if the timer runs more than 100 ms late, it gives the response 100 ms more, once.

--- a/libs/entry/include/entry/TableFollower.h
+++ b/libs/entry/include/entry/TableFollower.h
@@ -103,7 +103,8 @@
     void updateSucceeded(TimePoint asOf);
     void storeCallFailed(const Error&, std::function<void()> next);
     void callAfter(Duration, std::function<void()> next);
-    void startOverdueTimer();
+    /** If @p mayBeLate, a timer that runs late gives the response a moment longer. */
+    void startOverdueTimer(Duration delay, bool mayBeLate);
 
     TableStore& m_store;
     TableRelay& m_relay;
--- a/libs/entry/src/TableFollower.cpp
+++ b/libs/entry/src/TableFollower.cpp
@@ -7,6 +7,14 @@
 
 namespace peridot {
 
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr Duration longestTimerDelay = std::chrono::milliseconds { 100 }; // Of a process that is not paused.
+
+}
+
 TableFollower::TableFollower(boost::asio::io_context& context, TableStore& store, TableRelay& relay,
     TableFollowerOptions options, Handlers handlers, EventLog& log)
     : m_store(store)
@@ -154,7 +162,7 @@
 {
     const auto operation = beginOperation("changes", wait());
     m_relay.startReading(m_options.table, m_version);
-    startOverdueTimer();
+    startOverdueTimer(wait() + m_options.callOverdueMargin, true);
     m_store.changes(m_options.table, m_version, wait(), [this, operation, isAlive = m_isAlive](Result<StoreRows> rows) {
         if (!*isAlive || !isCurrent(operation))
             return;
@@ -179,11 +187,16 @@
     });
 }
 
-void TableFollower::startOverdueTimer()
+void TableFollower::startOverdueTimer(Duration delay, bool mayBeLate)
 {
-    m_overdueTimer.expires_after(wait() + m_options.callOverdueMargin);
-    m_overdueTimer.async_wait([this, isAlive = m_isAlive](const boost::system::error_code& ec) {
-        if (!ec && *isAlive)
+    m_overdueTimer.expires_after(delay);
+    m_overdueTimer.async_wait([this, mayBeLate, isAlive = m_isAlive](const boost::system::error_code& ec) {
+        if (ec || !*isAlive)
+            return;
+        // After a pause of the process, the response may wait behind this handler.
+        if (mayBeLate && asio::steady_timer::clock_type::now() - m_overdueTimer.expiry() > longestTimerDelay)
+            startOverdueTimer(longestTimerDelay, false);
+        else
             m_relay.stopServing(m_options.table, steadyNow());
     });
 }
--- a/libs/entry/tests/TableFollowerTest.cpp
+++ b/libs/entry/tests/TableFollowerTest.cpp
@@ -9,6 +9,7 @@
 
 #include <list>
 #include <set>
+#include <thread>
 
 namespace peridot {
 
@@ -215,6 +216,7 @@
     CPPUNIT_TEST(lostCallDoesNotEndTheFollowing);
     CPPUNIT_TEST(readersThatKnowNothingCauseFewStoreCalls);
     CPPUNIT_TEST(tableIsConfirmedAtOnceAfterAPause);
+    CPPUNIT_TEST(pausedReaderKeepsItsHistory);
     CPPUNIT_TEST(outageCausesFewStoreCalls);
     CPPUNIT_TEST(oneTableRetriesForAllInAnOutage);
     CPPUNIT_TEST_SUITE_END();
@@ -308,6 +310,20 @@
         CPPUNIT_ASSERT(follower.asOf() >= wakeTime - milliseconds { 400 + 100 + 400 + 100 });
     }
 
+    // Load pattern: a reader is paused while it waits for the store. The response is there when it resumes, but the
+    // timer that finds it overdue runs first. Without the history, all instances of the region read the store.
+    void pausedReaderKeepsItsHistory()
+    {
+        Fleet fleet(2);
+        fleet.run(milliseconds { 700 });
+        for (int i = 0; i < 3; ++i) {
+            const auto before = fleet.instances[1]->store.reads;
+            std::this_thread::sleep_for(milliseconds { 1'000 });
+            fleet.run(milliseconds { 300 });
+            CPPUNIT_ASSERT_EQUAL(before, fleet.instances[1]->store.reads);
+        }
+    }
+
     // During an outage of the store, retries of 20 instances would cause many calls, and refused calls are charged as
     // well.
     void outageCausesFewStoreCalls()
