--- a/libs/entry/tests/ServerConnectionsTest.cpp
+++ b/libs/entry/tests/ServerConnectionsTest.cpp
@@ -75,7 +75,7 @@
 
     std::shared_ptr<ClientConnection> acquire()
     {
-        return connections.acquire(BackendServerId("s"), addressOf(acceptor), false);
+        return connections.acquire(BackendServerId("s"), addressOf(acceptor), false, "r");
     }
 
     void run()
@@ -231,7 +231,7 @@
         std::optional<ConnectOutcome> checked;
         connections.tryConnect(addressOf(listener.acceptor), 0ms, [&](ConnectOutcome it) { checked = it; });
         std::optional<ExchangeResult> result;
-        connections.acquire(BackendServerId("s"), addressOf(listener.acceptor), false)
+        connections.acquire(BackendServerId("s"), addressOf(listener.acceptor), false, "r")
             ->send(HttpRequest(boost::beast::http::verb::get, "/", 11), nullptr,
                 [&](ExchangeResult it) { result = std::move(it); });
         context.run_for(10ms);
