steering: a leaving instance rejects at once what would wait beyond its end

Found in review. The expected wait now counts, and of the work the estimate for a cold run, because a run that is cut is no "not run" any more.

The other way round, a route without responses yet is estimated by a share of its target, so that a leaving instance rejected everything on routes with long targets (trial of the reviewer: a target of 25 s, all requests from 0.1 s after the SIGTERM on). At most 2.5 s are kept free before the end.

Rejections of a leaving instance state one Retry-After. requestThatWouldWaitBeyondTheEndIsRejectedAtOnce and unmeasuredRouteIsServedByALeavingInstance.

--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -92,6 +92,9 @@
     { RejectReason::TimedOut, "timed_out" },
 } };
 
+/** Of RejectReason::Leaving; short, because another instance can take the request at once. */
+constexpr Duration leavingRetryAfter = std::chrono::milliseconds { 20 };
+
 /** Whether the reason lies with the instance that rejects the request, so that another one may serve it. */
 constexpr bool isInstanceUnable(RejectReason reason) noexcept
 {
@@ -287,8 +290,8 @@
     /** Ends a request whose caller has closed its connection. A running send is cancelled. */
     SteeringActions callerDisconnected(RequestHandle, TimePoint now);
     /** This instance answers nothing after @p end. A request that is not running is rejected, for another instance to
-     *  serve, once it could not be answered before; one that is running is answered at @p end. */
-    void endAt(TimePoint end) noexcept { m_end = end; }
+     *  serve, once it is not expected to be answered before; one that is running is answered at @p end. */
+    void setEnd(TimePoint end) noexcept { m_end = end; }
     /** Ends requests past their deadline and sends queued ones. Call it about every 20 ms while requests are open.
      *  Spares a request that is running if @p mayHaveResponse returns true; endOverdue() has to follow then. */
     SteeringActions tick(TimePoint now, const ResponseCheck& mayHaveResponse = {});
@@ -330,6 +333,8 @@
     /** Region to which the home regions of the route or the workspace bind the request; null if there are several. */
     static const RegionId* homeRegion(const Request&);
     static bool isLate(const Request&, TimePoint now);
+    /** Whether this instance is expected to end before the response to a request that is sent after @p wait. */
+    bool endsBeforeResponse(const Request&, Duration wait, TimePoint now) const;
     /** Counts the request in its workspace's quota, or rejects it. Returns whether it was counted. */
     bool countInQuota(Request&, TimePoint now, SteeringActions&);
     /** While this instance is detached, passes a request that has not run to another instance. Returns whether it did.
@@ -382,7 +387,7 @@
     std::map<InstanceId, TimePoint> m_unableUntil; // Instances that could not take a request that was passed to them.
     std::size_t m_localInstances = 1; // Live ones in the own region.
     std::shared_ptr<const RateDivision> m_division; // Among m_instances.
-    std::optional<TimePoint> m_end; // See endAt().
+    std::optional<TimePoint> m_end; // See setEnd().
     KnowledgeGuard m_knowledge;
     std::shared_ptr<const RouteTable> m_routes;
     LateAttemptDetector m_lateAttempts;
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -31,6 +31,9 @@
     // For this long after an instance could not take a request, others are preferred. Its heartbeats tell by then.
     constexpr Duration unableMemory = std::chrono::seconds { 1 };
     constexpr unsigned maximumSends = 4; // Sends of one request, including those that servers refuse.
+    // Before this instance ends, requests on routes whose work is expected to take longer are sent all the same: the
+    // expectation may rest on no response yet.
+    constexpr Duration maximumEndReserve = std::chrono::milliseconds { 2'500 };
     constexpr Duration startingRetryAfter = std::chrono::milliseconds { 300 };
     constexpr Duration noServerRetryAfter = std::chrono::milliseconds { 500 };
     // Callers respect a Retry-After of at most the time they have left divided by this number.
@@ -379,7 +382,7 @@
         return reason;
     if (m_crashes.isIsolated(request.content))
         return RejectReason::EndsServers;
-    if (m_end && now + Duration { static_cast<Duration::rep>(workTimes(request.route()).warm) } > *m_end)
+    if (endsBeforeResponse(request, Duration { 0 }, now))
         return RejectReason::Leaving;
     return std::nullopt;
 }
@@ -654,6 +657,14 @@
     return query;
 }
 
+bool TrafficSteering::endsBeforeResponse(const Request& request, Duration wait, TimePoint now) const
+{
+    if (!m_end)
+        return false;
+    const Duration work { static_cast<Duration::rep>(workTimes(request.route()).cold) };
+    return now + wait + std::min(work, maximumEndReserve) > *m_end;
+}
+
 bool TrafficSteering::isLate(const Request& request, TimePoint now) { return now > request.latestStart(); }
 
 void TrafficSteering::enqueue(Request& request, TimePoint now, SteeringActions& actions)
@@ -695,9 +706,10 @@
     request.predictedLatency = std::max(choice.expected, wait + request.expectedWarmWork);
     if (!mayWait(request, wait, now)) {
         service.hasRejected = service.hasRejected || !isBlocked;
-        const auto reason = isBlocked           ? RejectReason::ShiftLimited
-            : choice.pausedFor > Duration { 0 } ? RejectReason::Paused
-                                                : RejectReason::Overloaded;
+        const auto reason = endsBeforeResponse(request, wait, now) ? RejectReason::Leaving
+            : isBlocked                                            ? RejectReason::ShiftLimited
+            : choice.pausedFor > Duration { 0 }                    ? RejectReason::Paused
+                                                                   : RejectReason::Overloaded;
         reject(request, reason, wait, now, actions);
         return;
     }
@@ -735,7 +747,7 @@
 bool TrafficSteering::mayWait(const Request& request, Duration wait, TimePoint now) const
 {
     const auto end = now + wait + request.expectedWarmWork;
-    if (request.service->queue.size() >= m_options.queueLimit)
+    if (request.service->queue.size() >= m_options.queueLimit || endsBeforeResponse(request, wait, now))
         return false;
     if (!request.isLate)
         return end <= request.targetTime()
@@ -1044,6 +1056,7 @@
     const auto after = !hasRetryAfter         ? Duration { 0 }
         : isExact                             ? std::max(retryAfter, Duration { 1'000 })
         : reason == RejectReason::EndsServers ? m_options.crashes.minimumRetention
+        : reason == RejectReason::Leaving     ? leavingRetryAfter
                                               : boundedRetryAfter(retryAfter, request, now);
     actions.emplace_back(RejectRequest { request.handle, reason, after });
     if (m_log.isEnabled(LogLevel::Info)) {
@@ -1155,10 +1168,10 @@
 
 void TrafficSteering::endOverdue(TimePoint now, const ResponseCheck& mayHaveResponse, SteeringActions& actions)
 {
-    const bool hasEnded = m_end && *m_end <= now;
+    const bool isAtEnd = m_end && *m_end <= now;
     std::vector<Request*> ended;
     for (const auto& [handle, request] : m_requests) {
-        if (!hasEnded && request->answerDeadline > now)
+        if (!isAtEnd && request->answerDeadline > now)
             continue;
         const bool isSent = request->runningAt || request->isAtPeer;
         if (!isSent || !mayHaveResponse || !mayHaveResponse(handle))
@@ -1175,7 +1188,7 @@
             recordSendResult(*request, { DispatchResult::Cancelled, {}, {}, {} }, now);
             reject(*request, RejectReason::TimedOut, {}, now, actions);
         } else {
-            reject(*request, hasEnded ? RejectReason::Leaving : RejectReason::Expired, m_options.minimumRetryAfter, now,
+            reject(*request, isAtEnd ? RejectReason::Leaving : RejectReason::Expired, m_options.minimumRetryAfter, now,
                 actions);
         }
     }
--- a/libs/steering/tests/TrafficSteeringTest.cpp
+++ b/libs/steering/tests/TrafficSteeringTest.cpp
@@ -45,6 +45,8 @@
     CPPUNIT_TEST(serverErrorReachesTheCaller);
     CPPUNIT_TEST(answersAtTheRouteTimeout);
     CPPUNIT_TEST(queuedRequestsAreRejectedBeforeTheInstanceEnds);
+    CPPUNIT_TEST(requestThatWouldWaitBeyondTheEndIsRejectedAtOnce);
+    CPPUNIT_TEST(unmeasuredRouteIsServedByALeavingInstance);
     CPPUNIT_TEST(runningRequestsAreAnsweredBeforeTheInstanceEnds);
     CPPUNIT_TEST(failedSendIsNotRepeatedTooLateForTheInstance);
     CPPUNIT_TEST(callerDisconnectCancelsTheRunningSend);
@@ -248,7 +250,7 @@
         steering->begin(1, request("/lookup/x"), start);
         steering->begin(2, request("/lookup/x"), start);
         CPPUNIT_ASSERT(steering->begin(3, request("/lookup/x"), start).empty());
-        steering->endAt(start + 300ms);
+        steering->setEnd(start + 300ms);
         CPPUNIT_ASSERT(steering->tick(start + 20ms).empty());
         std::optional<RejectRequest> rejected;
         for (auto now = start + 40ms; !rejected && now < start + 300ms; now += 20ms) {
@@ -261,12 +263,37 @@
         CPPUNIT_ASSERT(rejected->reason == RejectReason::Leaving && rejected->retryAfter > 0ms);
     }
 
+    /** A request that was queued shortly before the end waited in vain, and was rejected only then. */
+    void requestThatWouldWaitBeyondTheEndIsRejectedAtOnce()
+    {
+        auto steering = ready(1, 1);
+        for (RequestHandle handle = 1; handle <= 8; ++handle)
+            steering->begin(handle, request("/lookup/x"), start);
+        steering->setEnd(start + 260ms);
+        const auto actions = steering->begin(9, request("/lookup/x"), start + 10ms);
+        const auto* reject = only<RejectRequest>(actions);
+        CPPUNIT_ASSERT(reject && reject->reason == RejectReason::Leaving);
+    }
+
+    /** The first estimate of a route's work is a share of its target. On a route with a long target, a leaving instance
+     *  rejected all requests from the first moment on. */
+    void unmeasuredRouteIsServedByALeavingInstance()
+    {
+        TrafficSteering steering(options(), 1, m_log);
+        auto configuration = data();
+        configuration.routes.front().targetLatency = configuration.routes.front().timeout = 25s;
+        steering.setRoutes(*RouteTable::create(configuration));
+        steering.setServers(servers(1, 4), start);
+        steering.setEnd(start + 5500ms);
+        CPPUNIT_ASSERT(only<SendToServer>(steering.begin(1, request("/lookup/x"), start + 2900ms)));
+    }
+
     /** The callers of requests that run when the process ends got no answer. */
     void runningRequestsAreAnsweredBeforeTheInstanceEnds()
     {
         auto steering = ready(1, 4);
         steering->begin(1, request("/book/x"), start);
-        steering->endAt(start + 300ms);
+        steering->setEnd(start + 300ms);
         CPPUNIT_ASSERT(steering->tick(start + 290ms).empty());
         const auto actions = steering->tick(start + 300ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, actions.size());
@@ -279,7 +306,7 @@
     void failedSendIsNotRepeatedTooLateForTheInstance()
     {
         auto steering = ready(2, 4);
-        steering->endAt(start + 400ms);
+        steering->setEnd(start + 400ms);
         CPPUNIT_ASSERT(only<SendToServer>(steering->begin(1, request("/book/x"), start)));
         const auto actions = steering->finished(1, report(DispatchResult::Shed), start + 390ms);
         const auto* reject = only<RejectRequest>(actions);
