--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -39,7 +39,7 @@
 
     Result<void> listen(const std::string& address);
     std::uint16_t port() const;
-    /** Applies to open connections as well. */
+    /** Applies to open connections as well, but for a shorter idle limit, which spares those that are idle. */
     void setLimits(const HttpServerLimits&);
     /** Answers end their connections from now on. Connections without a request stay open: one may be on its way, and
      *  only an answer tells the caller to send no more. */
--- a/libs/http/include/http/ServerConnection.h
+++ b/libs/http/include/http/ServerConnection.h
@@ -35,7 +35,6 @@
     CallerClosed,
     Broken, // An error of the socket.
     FinalAnswer, // The last answer announced the end.
-    Leaving, // Idle while the server drains.
     IdleLimit,
     Room, // Idle while there are many connections.
     Timeout, // The caller didn't take its answer in time.
@@ -43,11 +42,10 @@
 };
 
 template <>
-inline constexpr EnumNameTable<CloseReason, 8> enumNames<CloseReason> { {
+inline constexpr EnumNameTable<CloseReason, 7> enumNames<CloseReason> { {
     { CloseReason::CallerClosed, "caller_closed" },
     { CloseReason::Broken, "broken" },
     { CloseReason::FinalAnswer, "final_answer" },
-    { CloseReason::Leaving, "leaving" },
     { CloseReason::IdleLimit, "idle_limit" },
     { CloseReason::Room, "room" },
     { CloseReason::Timeout, "timeout" },
@@ -108,7 +106,8 @@
     void close(CloseReason);
     /** Complete once the connection is closed. */
     const ConnectionEnd& end() const noexcept { return m_end; }
-    /** Without a request, also in what the socket holds, and not about to end. A request may still be on its way. */
+    /** Without a request, also in what the socket holds, and not about to end. A request may still be on its way. Input
+     *  that has been read and waits for its handler isn't seen: ask only if lastActivity() is some time ago. */
     bool isIdle();
     /** When the last answer was written, or the connection was opened. */
     Clock::time_point lastActivity() const noexcept { return m_lastActivity; }
--- a/libs/http/tests/ServerConnectionTest.cpp
+++ b/libs/http/tests/ServerConnectionTest.cpp
@@ -213,7 +213,6 @@
             idle.emplace_back(loopback.context);
             idle.back().connect({ asio::ip::make_address("127.0.0.1"), loopback.server.port() });
         }
-        // Closing waits 1 s for bytes on their way.
         loopback.run(2500ms);
         CPPUNIT_ASSERT(loopback.server.connectionCount() < 9);
     }
