entry, platform: a leaving instance rejects new requests by their time

Found in review. The instance began to reject new requests with a periodic step that drifts and counts from the late receipt of the signal, so that it took some that were sent more than 3 s after the SIGTERM and broke them off at its end. Trial of the reviewer, with the process paused once for 130 ms: requests sent at 3.02, 3.04 and 3.06 s ran and got 504 at 5.52 s.

--- a/libs/entry/include/entry/RequestGateway.h
+++ b/libs/entry/include/entry/RequestGateway.h
@@ -32,9 +32,9 @@
 
     /** Accepts a request and answers it when TrafficSteering has decided; a malformed one is answered at once. */
     void handle(const std::shared_ptr<HttpExchange>&);
-    /** Rejects all requests from now on with RejectReason::Leaving. Called when the instance will stop before it could
-     *  answer them. */
-    void rejectNewRequests() noexcept { m_rejectsNewRequests = true; }
+    /** Rejects the requests that come from then on with RejectReason::Leaving, because the instance will stop before it
+     *  could answer them. */
+    void rejectNewRequestsFrom(TimePoint time) noexcept { m_rejectsFrom = time; }
     std::size_t openRequests() const noexcept { return m_requests.size(); }
     /** How late the periodic check of the gateway ran: the time for which due work waits for the process. */
     const LatencyHistogram& loopDelays() const noexcept { return m_loopDelays; }
@@ -89,7 +89,7 @@
     std::unordered_map<RequestHandle, OpenRequest> m_requests;
     RequestHandle m_lastHandle = 0;
     LatencyHistogram m_loopDelays;
-    bool m_rejectsNewRequests = false;
+    std::optional<TimePoint> m_rejectsFrom; // See rejectNewRequestsFrom().
     bool m_hasSparedRequests = false; // Some requests are overdue, but may have a response.
     bool m_isEndOverdueDue = false; // endOverdue() runs in the next turn of the io_context.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -24,8 +24,6 @@
     constexpr std::chrono::milliseconds loggedLoopDelay { 100 };
     // A connection that breaks within this time was accepted by something on the way that does not reach the server.
     constexpr Duration probeSettleTime = std::chrono::milliseconds { 30 };
-    // Short, because another instance can take the request at once.
-    constexpr Duration leavingRetryAfter = std::chrono::milliseconds { 20 };
 
     /** Hash of what makes a request the same one again. It has no seed, because all instances must compute the same
      *  one. */
@@ -146,7 +144,7 @@
         exchange->respond(std::move(read.error()));
         return;
     }
-    if (m_rejectsNewRequests) {
+    if (m_rejectsFrom && steadyNow() >= *m_rejectsFrom) {
         m_log.write(
             LogLevel::Info, LogLine("reject").add("request", read->id).add("reason", enumName(RejectReason::Leaving)));
         exchange->respond(m_protocol.rejection({ 0, RejectReason::Leaving, leavingRetryAfter }));
--- a/libs/entry/tests/GatewayTest.cpp
+++ b/libs/entry/tests/GatewayTest.cpp
@@ -151,6 +151,7 @@
     CPPUNIT_TEST(requestTimesOutIfServerDoesNotAnswer);
     CPPUNIT_TEST(shedRequestIsRejectedAsNotExecuted);
     CPPUNIT_TEST(leavingInstanceRejectsNewRequests);
+    CPPUNIT_TEST(newRequestsAreRejectedFromAGivenTime);
     CPPUNIT_TEST(repeatedRefusalDoesNotCountForARequestSentAgain);
     CPPUNIT_TEST(refusalKeepsTheConnectionForOtherRequests);
     CPPUNIT_TEST(requestIsNotSentOnAConnectionThatTheServerHasClosed);
@@ -243,7 +244,7 @@
         harness.onBackendRequest = [&](const auto& exchange) { pending.push_back(exchange); };
         harness.send("/1");
         CPPUNIT_ASSERT(harness.runUntil([&] { return pending.size() == 1; }));
-        harness.gateway.rejectNewRequests();
+        harness.gateway.rejectNewRequestsFrom(steadyNow());
         harness.send("/2");
         HttpResponse response(http::status::ok, 11);
         response.body() = "whole";
@@ -254,6 +255,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, pending.size());
     }
 
+    /** A periodic check that ran late let a leaving instance take requests that it could not finish. */
+    void newRequestsAreRejectedFromAGivenTime()
+    {
+        GatewayAndRawServer harness;
+        harness.gateway.rejectNewRequestsFrom(steadyNow() + 300ms);
+        harness.send("/1", "a seat", "POST");
+        CPPUNIT_ASSERT(harness.serverReceives("/1"));
+        std::this_thread::sleep_for(400ms);
+        harness.send("/2", "a seat", "POST");
+        harness.answer("first");
+        CPPUNIT_ASSERT(harness.receives("leaving"));
+        CPPUNIT_ASSERT(harness.received.find("first") < harness.received.find("leaving"));
+    }
+
     /** A caller sends a refused request again with its id, and the refusal's copy comes over the same connection. */
     void repeatedRefusalDoesNotCountForARequestSentAgain()
     {
--- a/libs/entry/tests/PassedRequestTest.cpp
+++ b/libs/entry/tests/PassedRequestTest.cpp
@@ -156,7 +156,7 @@
         ServingInstance peer(options("e-3"));
         for (auto* it : { &cut, &cutToo, &leaving })
             it->setRoute(false, 1);
-        leaving.gateway.rejectNewRequests();
+        leaving.gateway.rejectNewRequestsFrom(steadyNow());
         detach(cut);
         detach(cutToo);
         std::vector<EntryInstance> instances { { InstanceId("e-0"), RegionId("jadran"), true, true, {} } };
