entry, platform: a late process answers its open requests before it stops

Found in review. The answers to requests that are open at the end come from a periodic check, and the stop from another timer 150 ms later.

--- a/libs/entry/include/entry/RequestGateway.h
+++ b/libs/entry/include/entry/RequestGateway.h
@@ -35,6 +35,8 @@
     /** Rejects the requests that come from then on with RejectReason::Leaving, because the instance will stop before it
      *  could answer them. */
     void rejectNewRequestsFrom(TimePoint time) noexcept { m_rejectsFrom = time; }
+    /** Answers all open requests at once. */
+    void endRequests();
     std::size_t openRequests() const noexcept { return m_requests.size(); }
     /** How late the periodic check of the gateway ran: the time for which due work waits for the process. */
     const LatencyHistogram& loopDelays() const noexcept { return m_loopDelays; }
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -101,6 +101,13 @@
     endOverdue();
 }
 
+void RequestGateway::endRequests()
+{
+    const auto now = steadyNow();
+    m_steering.setEnd(now);
+    perform(m_steering.tick(now));
+}
+
 /** Asks anew in the next turn about the overdue requests that were spared. */
 void RequestGateway::endOverdue()
 {
--- a/libs/entry/tests/GatewayTest.cpp
+++ b/libs/entry/tests/GatewayTest.cpp
@@ -152,6 +152,7 @@
     CPPUNIT_TEST(shedRequestIsRejectedAsNotExecuted);
     CPPUNIT_TEST(leavingInstanceRejectsNewRequests);
     CPPUNIT_TEST(newRequestsAreRejectedFromAGivenTime);
+    CPPUNIT_TEST(openRequestsAreAnsweredAtTheEnd);
     CPPUNIT_TEST(repeatedRefusalDoesNotCountForARequestSentAgain);
     CPPUNIT_TEST(refusalKeepsTheConnectionForOtherRequests);
     CPPUNIT_TEST(requestIsNotSentOnAConnectionThatTheServerHasClosed);
@@ -269,6 +270,21 @@
         CPPUNIT_ASSERT(harness.received.find("first") < harness.received.find("leaving"));
     }
 
+    /** A process that ran late stopped before the periodic check that answers the requests which are open at its end.
+     */
+    void openRequestsAreAnsweredAtTheEnd()
+    {
+        GatewayAndRawServer harness;
+        harness.send("/1", "a seat", "POST");
+        CPPUNIT_ASSERT(harness.serverReceives("/1"));
+        harness.gateway.endRequests();
+        harness.context.stop();
+        char buf[4096];
+        harness.callerSocket.non_blocking(false);
+        const auto n = harness.callerSocket.read_some(boost::asio::buffer(buf));
+        CPPUNIT_ASSERT_MESSAGE(std::string(buf, n), std::string(buf, n).find("timed_out") != std::string::npos);
+    }
+
     /** A caller sends a refused request again with its id, and the refusal's copy comes over the same connection. */
     void repeatedRefusalDoesNotCountForARequestSentAgain()
     {
