--- a/daemons/peridotd/tests/LoopbackDeployment.h
+++ b/daemons/peridotd/tests/LoopbackDeployment.h
@@ -27,9 +27,9 @@
         { "classes",
             { { { "id", "items" }, { "service", "shop" }, { "methods", { "GET" } }, { "path_prefix", "/items" },
                   { "importance", 50 }, { "target_latency_ms", 5000 }, { "idempotent", true }, { "open", false } },
-                { { "id", "orders" }, { "service", "shop" }, { "methods", { "POST" } },
-                    { "path_prefix", "/orders" }, { "importance", 90 }, { "target_latency_ms", 5000 },
-                    { "idempotent", false }, { "open", false } } } },
+                { { "id", "orders" }, { "service", "shop" }, { "methods", { "POST" } }, { "path_prefix", "/orders" },
+                    { "importance", 90 }, { "target_latency_ms", 5000 }, { "idempotent", false },
+                    { "open", false } } } },
         { "workspaces", { { { "id", "korzo" }, { "rate_per_second", 10000 }, { "burst", 5000 } } } },
         { "keys", { { { "id", "korzo-1" }, { "hash", toHex(hashKey(callerKey)) }, { "workspace", "korzo" } } } },
         { "withdrawn_keys", nlohmann::json::array() }, { "drains", nlohmann::json::array() } };
@@ -103,21 +103,17 @@
         platform.close();
     }
 
-    std::string send(const std::string& bytes) const
-    {
-        return exchangeBytes(settings.node.self.callerAddress, bytes);
-    }
+    std::string send(const std::string& bytes) const { return exchangeBytes(settings.node.self.callerAddress, bytes); }
 
-    std::string get(
-        const std::string& target, const std::string& headers = "X-Api-Key: " + callerKey + "\r\n") const
+    std::string get(const std::string& target, const std::string& headers = "X-Api-Key: " + callerKey + "\r\n") const
     {
         return send("GET " + target + " HTTP/1.1\r\nHost: t\r\nConnection: close\r\n" + headers + "\r\n");
     }
 
     std::string post(const std::string& target, const std::string& headers, const std::string& body) const
     {
-        return send("POST " + target + " HTTP/1.1\r\nHost: t\r\nConnection: close\r\nX-Api-Key: " + callerKey
-            + "\r\n" + headers + "\r\n" + body);
+        return send("POST " + target + " HTTP/1.1\r\nHost: t\r\nConnection: close\r\nX-Api-Key: " + callerKey + "\r\n"
+            + headers + "\r\n" + body);
     }
 
     NullEventLog log;
@@ -134,8 +130,8 @@
     return instance;
 }
 
-inline void assertRefused(const std::string& response, const std::string& status, const std::string& code,
-    const std::string& run = "not_run")
+inline void assertRefused(
+    const std::string& response, const std::string& status, const std::string& code, const std::string& run = "not_run")
 {
     CPPUNIT_ASSERT_MESSAGE(response.substr(0, 600), response.rfind("HTTP/1.1 " + status, 0) == 0);
     CPPUNIT_ASSERT_MESSAGE(response, response.find("X-Request-Id: entry-1-") != std::string::npos);
