--- a/libs/http/fuzz/RequestFuzzer.cpp
+++ b/libs/http/fuzz/RequestFuzzer.cpp
@@ -66,7 +66,7 @@
         }
         ::close(ends[1]);
         runReady(context);
-        connection->close();
+        connection->close(CloseReason::Stopped);
         runReady(context);
         return reading;
     }
