--- a/libs/entry/tests/GatewayHarness.h
+++ b/libs/entry/tests/GatewayHarness.h
@@ -163,4 +163,43 @@
     std::function<void()> onHandled; // Called when the gateway has taken a request.
 };
 
+/** A caller, a gateway and a backend server that the test plays by itself. */
+class GatewayAndRawServer : public CallerAndGateway {
+public:
+    explicit GatewayAndRawServer(const ServerConnectionsOptions& options = {})
+        : CallerAndGateway({ RegionId("jadran"), {} }, options)
+        , acceptor(context, { processLoopback(), 0 })
+        , server(context)
+    {
+        setRoute(false, 1);
+        setServers({ acceptor.local_endpoint().port() });
+    }
+
+    /** Accepts the connection of a request, if it has a new one, and reads the request. */
+    bool serverReceives(const std::string& path)
+    {
+        acceptor.non_blocking(true);
+        std::string text;
+        return runUntil([&] {
+            boost::system::error_code ec;
+            if (auto accepted = acceptor.accept(ec); !ec)
+                server = std::move(accepted);
+            char buf[4096];
+            if (server.is_open() && server.available(ec) > 0)
+                text.append(buf, server.read_some(boost::asio::buffer(buf), ec));
+            return text.find(path) != std::string::npos;
+        });
+    }
+
+    void answer(const std::string& body)
+    {
+        boost::asio::write(server,
+            boost::asio::buffer(
+                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body));
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::ip::tcp::socket server; // The server's end of the newest connection.
+};
+
 }
--- /dev/null
+++ b/libs/entry/tests/GracefulStopTest.cpp
@@ -0,0 +1,92 @@
+// An instance that leaves: what callers have sent is answered before the process ends.
+
+#include "GatewayHarness.h"
+
+#include "entry/GracefulStop.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <thread>
+
+using namespace peridot;
+using namespace std::chrono_literals;
+
+namespace {
+
+class LeavingInstance : public GatewayAndRawServer {
+public:
+    explicit LeavingInstance(Duration lookupTime = 200ms)
+        : lookups(context, {}, 10, [](const auto&) {})
+        , stop(context, steering, gateway, callerServer, lookups, lookupTime, log, [this] { hasEnded = true; })
+    {
+    }
+
+    /** Sends a request that the server receives and doesn't answer. */
+    void run(const std::string& path)
+    {
+        send(path, "a seat", "POST");
+        CPPUNIT_ASSERT(serverReceives(path));
+    }
+
+    bool ends()
+    {
+        return runUntil([this] { return hasEnded; });
+    }
+
+    HttpServer lookups;
+    GracefulStop stop;
+    bool hasEnded = false;
+};
+
+}
+
+class GracefulStopTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(GracefulStopTest);
+    CPPUNIT_TEST(endsOnceNothingHappens);
+    CPPUNIT_TEST(serverThatStaysSilentDoesNotOutliveTheInstance);
+    CPPUNIT_TEST(requestThatWaitsToBeAcceptedIsAnsweredByALateProcess);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void endsOnceNothingHappens()
+    {
+        LeavingInstance instance;
+        instance.run("/1");
+        instance.stop.begin(10s);
+        instance.runUntil([] { return false; }, 700ms);
+        CPPUNIT_ASSERT(!instance.hasEnded); // A request is open.
+        instance.answer("whole");
+        CPPUNIT_ASSERT(instance.receives("whole"));
+        CPPUNIT_ASSERT(instance.ends());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, instance.callerServer.connectionCount());
+    }
+
+    /** Requests that were open when the process was killed got no answer. */
+    void serverThatStaysSilentDoesNotOutliveTheInstance()
+    {
+        LeavingInstance instance;
+        instance.run("/1");
+        instance.stop.begin(700ms);
+        CPPUNIT_ASSERT(instance.receives("timed_out"));
+        CPPUNIT_ASSERT(!instance.hasEnded); // There is time left for the answer.
+        CPPUNIT_ASSERT(instance.ends());
+    }
+
+    /** Closing the listener resets connections that the kernel has accepted and a late process has not. */
+    void requestThatWaitsToBeAcceptedIsAnsweredByALateProcess()
+    {
+        LeavingInstance instance;
+        instance.run("/1");
+        instance.stop.begin(400ms);
+        instance.callerSocket = boost::asio::ip::tcp::socket(instance.context);
+        instance.callerSocket.connect({ processLoopback(), instance.callerServer.port() });
+        instance.callerSocket.non_blocking(true);
+        instance.send("/2");
+        std::this_thread::sleep_for(500ms);
+        CPPUNIT_ASSERT_MESSAGE(instance.received, instance.receives("leaving"));
+        CPPUNIT_ASSERT(instance.ends());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GracefulStopTest);
