entry, tests: drive the time of TableFollowerTest

Cause: the cases counted calls of the store in real time. A pause of the test process expires pulls, so the reader looked as if it did not respond, and the calls that follow from this were counted.

Change: TableFollower takes its clock and its timers from an interface (entry/Timers.h). Spans, bounds and what is counted are unchanged. The form is as strict: the same operations run in the same order, timers that are due together queue their handlers before any runs, as in an io_context, and no bound has slack for a slow machine any more. pausedReaderKeepsItsHistory lets 1 s pass without running a handler, where it slept before. Handlers that call each other without end fail the case after 100,000 calls at one time. Ticks late by the load of the machine are no longer part of these cases.

--- a/libs/entry/include/entry/TableFollower.h
+++ b/libs/entry/include/entry/TableFollower.h
@@ -6,11 +6,9 @@
 #include "base/EventLog.h"
 #include "base/Time.h"
 #include "entry/TableRelay.h"
+#include "entry/Timers.h"
 #include "store/TableFeed.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <cstdint>
 #include <functional>
@@ -57,7 +55,7 @@
         std::function<bool(const StoreRow&)> isSignificant {};
     };
 
-    TableFollower(boost::asio::io_context&, TableStore&, TableRelay&, TableFollowerOptions, Handlers, EventLog&);
+    TableFollower(Timers&, TableStore&, TableRelay&, TableFollowerOptions, Handlers, EventLog&);
     ~TableFollower();
     TableFollower(const TableFollower&) = delete;
     TableFollower& operator=(const TableFollower&) = delete;
@@ -106,13 +104,14 @@
     /** If @p mayBeLate, a timer that runs late gives the response a moment longer. */
     void startOverdueTimer(Duration delay, bool mayBeLate);
 
+    Timers& m_timers;
     TableStore& m_store;
     TableRelay& m_relay;
     const TableFollowerOptions m_options;
     const Handlers m_handlers;
     EventLog& m_log;
-    boost::asio::steady_timer m_timer;
-    boost::asio::steady_timer m_overdueTimer; // Runs while a call for changes of the table is in flight.
+    const std::unique_ptr<Timer> m_timer;
+    const std::unique_ptr<Timer> m_overdueTimer; // Runs while a call for changes of the table is in flight.
     std::mt19937_64 m_random { std::random_device {}() };
     OperationId m_operation = 0;
     const char* m_operationName = "";
--- a/libs/entry/src/TableFollower.cpp
+++ b/libs/entry/src/TableFollower.cpp
@@ -1,29 +1,27 @@
 #include "entry/TableFollower.h"
 
 #include "base/LogLine.h"
-#include "base/SteadyTime.h"
 
 #include <algorithm>
 
 namespace peridot {
 
-namespace asio = boost::asio;
-
 namespace {
 
     constexpr Duration longestTimerDelay = std::chrono::milliseconds { 100 }; // Of a process that is not paused.
 
 }
 
-TableFollower::TableFollower(boost::asio::io_context& context, TableStore& store, TableRelay& relay,
-    TableFollowerOptions options, Handlers handlers, EventLog& log)
-    : m_store(store)
+TableFollower::TableFollower(Timers& timers, TableStore& store, TableRelay& relay, TableFollowerOptions options,
+    Handlers handlers, EventLog& log)
+    : m_timers(timers)
+    , m_store(store)
     , m_relay(relay)
     , m_options(std::move(options))
     , m_handlers(std::move(handlers))
     , m_log(log)
-    , m_timer(context)
-    , m_overdueTimer(context)
+    , m_timer(timers.makeTimer())
+    , m_overdueTimer(timers.makeTimer())
 {
 }
 
@@ -34,7 +32,7 @@
 TableFollower::OperationId TableFollower::beginOperation(const char* name, Duration limit)
 {
     m_operationName = name;
-    m_operationStart = steadyNow();
+    m_operationStart = m_timers.now();
     m_operationDeadline = m_operationStart + limit + m_options.operationOverdueMargin;
     return ++m_operation;
 }
@@ -61,10 +59,10 @@
 
 void TableFollower::confirm()
 {
-    m_relay.stopServing(m_options.table, steadyNow());
+    m_relay.stopServing(m_options.table, m_timers.now());
     m_needsConfirmation = true;
-    m_timer.cancel();
-    m_overdueTimer.cancel();
+    m_timer->cancel();
+    m_overdueTimer->cancel();
     if (m_hasSnapshot)
         pullOrReadChanges();
     else
@@ -74,12 +72,10 @@
 void TableFollower::callAfter(Duration delay, std::function<void()> next)
 {
     const auto operation = beginOperation("pause", delay);
-    m_timer.expires_after(delay);
-    m_timer.async_wait(
-        [this, operation, next = std::move(next), isAlive = m_isAlive](const boost::system::error_code& ec) {
-            if (!ec && *isAlive && isCurrent(operation))
-                next();
-        });
+    m_timer->start(delay, [this, operation, next = std::move(next), isAlive = m_isAlive] {
+        if (*isAlive && isCurrent(operation))
+            next();
+    });
 }
 
 void TableFollower::readSnapshot(const std::string& firstKey)
@@ -109,7 +105,7 @@
         m_hasSnapshot = true;
         m_relay.directReadSucceeded();
         updateSucceeded(m_snapshotStart);
-        m_relay.addChanges(m_options.table, m_version, { {}, m_version, false }, m_snapshotStart, steadyNow());
+        m_relay.addChanges(m_options.table, m_version, { {}, m_version, false }, m_snapshotStart, m_timers.now());
         m_handlers.onSnapshot(std::exchange(m_snapshotRows, {}), m_version);
         callAfter(m_options.storeCallPause, [this] { pullOrReadChanges(); });
     });
@@ -117,7 +113,7 @@
 
 void TableFollower::pullOrReadChanges()
 {
-    if (m_relay.canPull(steadyNow()))
+    if (m_relay.canPull(m_timers.now()))
         pullChanges();
     else
         readUnlessBackingOff();
@@ -125,9 +121,9 @@
 
 void TableFollower::readUnlessBackingOff()
 {
-    if (m_relay.isReader() || m_relay.tryDirectRead(steadyNow()))
+    if (m_relay.isReader() || m_relay.tryDirectRead(m_timers.now()))
         readChanges();
-    else if (m_relay.canPull(steadyNow()))
+    else if (m_relay.canPull(m_timers.now()))
         pullChanges(); // The reader that failed is skipped now, so this pulls from the next one.
     else
         callAfter(m_options.readerPullInterval, [this] { pullOrReadChanges(); });
@@ -137,7 +133,7 @@
 {
     const auto pullWait = std::min(wait(), m_options.maximumPullWait);
     const auto operation = beginOperation("pull", pullWait);
-    m_relay.pull(m_options.table, m_version, pullWait, steadyNow(),
+    m_relay.pull(m_options.table, m_version, pullWait, m_timers.now(),
         [this, operation, isAlive = m_isAlive](const TableRelay::PullResult& changes) {
             if (!*isAlive || !isCurrent(operation))
                 return;
@@ -145,14 +141,14 @@
             if (!changes) {
                 // A reader that does not know the changes says so at once, so asking the next one costs no time.
                 m_needsConfirmation = true;
-                if (changes.error() == PullFailure::NotKnown && m_relay.canPull(steadyNow()))
+                if (changes.error() == PullFailure::NotKnown && m_relay.canPull(m_timers.now()))
                     pullChanges();
                 else
                     readUnlessBackingOff();
                 return;
             }
             // The peer reads the store, so this instance must not answer pulls from its own history any longer.
-            m_relay.stopServing(m_options.table, steadyNow());
+            m_relay.stopServing(m_options.table, m_timers.now());
             applyChanges(changes->rows, changes->asOf);
             callAfter(m_options.pullPause, [this] { pullOrReadChanges(); });
         });
@@ -167,7 +163,7 @@
         if (!*isAlive || !isCurrent(operation))
             return;
         attemptEnded();
-        m_overdueTimer.cancel();
+        m_overdueTimer->cancel();
         if (!rows && rows.error().code == ErrorCode::NotFound) {
             m_log.write(
                 LogLevel::Info, LogLine("table_history_lost").add("table", m_options.table).add("version", m_version));
@@ -180,7 +176,7 @@
         }
         m_relay.directReadSucceeded();
         markSignificant(*rows);
-        m_relay.addChanges(m_options.table, m_version, *rows, m_operationStart, steadyNow());
+        m_relay.addChanges(m_options.table, m_version, *rows, m_operationStart, m_timers.now());
         std::erase_if(rows->rows, [](const auto& row) { return !row.isNews; });
         applyChanges(*rows, m_operationStart);
         callAfter(m_options.storeCallPause, [this] { pullOrReadChanges(); });
@@ -189,15 +185,14 @@
 
 void TableFollower::startOverdueTimer(Duration delay, bool mayBeLate)
 {
-    m_overdueTimer.expires_after(delay);
-    m_overdueTimer.async_wait([this, mayBeLate, isAlive = m_isAlive](const boost::system::error_code& ec) {
-        if (ec || !*isAlive)
+    m_overdueTimer->start(delay, [this, mayBeLate, isAlive = m_isAlive] {
+        if (!*isAlive)
             return;
         // After a pause of the process, the response may wait behind this handler.
-        if (mayBeLate && asio::steady_timer::clock_type::now() - m_overdueTimer.expiry() > longestTimerDelay)
+        if (mayBeLate && m_overdueTimer->lateness() > longestTimerDelay)
             startOverdueTimer(longestTimerDelay, false);
         else
-            m_relay.stopServing(m_options.table, steadyNow());
+            m_relay.stopServing(m_options.table, m_timers.now());
     });
 }
 
@@ -230,7 +225,7 @@
 
 void TableFollower::storeCallFailed(const Error& error, std::function<void()> next)
 {
-    m_relay.storeContactLost(m_options.table, steadyNow());
+    m_relay.storeContactLost(m_options.table, m_timers.now());
     m_needsConfirmation = true;
     m_retryDelay = std::clamp(m_retryDelay * 2, m_options.minimumRetryDelay, m_options.maximumRetryDelay);
     if (std::exchange(m_isReached, false)) {
@@ -241,7 +236,7 @@
     // The jitter keeps instances that lost the store at the same time from retrying at the same time.
     const auto jitter = std::uniform_int_distribution<Duration::rep>(0, m_retryDelay.count() / 2)(m_random);
     if (!m_relay.isReader())
-        m_relay.directReadFailed(Duration { jitter }, steadyNow());
+        m_relay.directReadFailed(Duration { jitter }, m_timers.now());
     callAfter(m_retryDelay + Duration { jitter }, std::move(next));
 }
 
--- a/libs/entry/tests/TableFollowerTest.cpp
+++ b/libs/entry/tests/TableFollowerTest.cpp
@@ -1,15 +1,16 @@
 // Tests how instances follow a table: the number of reads of the store must not grow with the number of instances, and
-// a reader that stops or that the store refuses must not delay changes for the other instances beyond the bound.
+// a reader that stops or that the store refuses must not delay changes for the other instances beyond the bound. The
+// time is driven by the test, because in real time a paused test process looks like a reader that does not respond.
 
-#include "base/SteadyTime.h"
 #include "entry/TableFollower.h"
 
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <list>
+#include <map>
 #include <set>
-#include <thread>
 
 namespace peridot {
 
@@ -18,11 +19,91 @@
     namespace asio = boost::asio;
     using std::chrono::milliseconds;
 
+    /** A clock that only advance() and pause() move. Like those of an io_context, timers that are due at the same time
+     *  queue their handlers in the order of their expiry, before any of these handlers runs. */
+    class DrivenTimers final : public Timers {
+    public:
+        explicit DrivenTimers(asio::io_context& context)
+            : m_context(context)
+        {
+        }
+
+        TimePoint now() const noexcept override { return m_now; }
+        std::unique_ptr<Timer> makeTimer() override { return std::make_unique<DrivenTimer>(*this); }
+
+        /** Runs all handlers up to the end of @p time, each at the time at which it is due. */
+        void advance(Duration time)
+        {
+            const auto end = m_now + time;
+            runHandlers();
+            while (!m_pending.empty() && m_pending.begin()->first <= end) {
+                m_now = std::max(m_now, m_pending.begin()->first);
+                while (!m_pending.empty() && m_pending.begin()->first <= m_now)
+                    asio::post(m_context, std::move(m_pending.extract(m_pending.begin()).mapped().handler));
+                runHandlers();
+            }
+            m_now = std::max(m_now, end);
+        }
+
+        /** Lets the time pass while no handler runs, as in a process that is paused. */
+        void pause(Duration time) { m_now += time; }
+
+    private:
+        class DrivenTimer final : public Timer {
+        public:
+            explicit DrivenTimer(DrivenTimers& timers)
+                : m_timers(timers)
+            {
+            }
+
+            ~DrivenTimer() override { erase(); }
+
+            void start(Duration delay, std::function<void()> handler) override
+            {
+                erase();
+                m_expiry = m_timers.m_now + delay;
+                m_timers.m_pending.insert({ m_expiry, { this, std::move(handler) } });
+            }
+
+            void cancel() override { erase(); }
+            Duration lateness() const override { return m_timers.m_now - m_expiry; }
+
+        private:
+            void erase()
+            {
+                std::erase_if(m_timers.m_pending, [this](const auto& it) { return it.second.timer == this; });
+            }
+
+            DrivenTimers& m_timers;
+            TimePoint m_expiry {};
+        };
+
+        struct Pending {
+            const Timer* timer;
+            std::function<void()> handler;
+        };
+
+        void runHandlers()
+        {
+            // Handlers that keep calling each other would not let the time move. 20 instances run a few hundred of them
+            // at a time.
+            constexpr int maximumHandlersAtATime = 100'000;
+            m_context.restart(); // It stops when no handler is queued.
+            for (int i = 0; m_context.poll_one() > 0; ++i)
+                CPPUNIT_ASSERT_MESSAGE("handlers run without end", i < maximumHandlersAtATime);
+        }
+
+        asio::io_context& m_context;
+        TimePoint m_now { std::chrono::hours { 1 } }; // TimePoint {} means "never" to some members.
+        std::multimap<TimePoint, Pending> m_pending;
+    };
+
     /** A store with one table. It calls its handlers on the io_context. */
     class FakeStore final : public TableStore {
     public:
-        explicit FakeStore(asio::io_context& context)
+        FakeStore(asio::io_context& context, Timers& timers)
             : m_context(context)
+            , m_timers(timers)
         {
         }
 
@@ -46,12 +127,9 @@
                 });
                 return;
             }
-            m_waitingCalls.push_back({ version, std::move(handler), asio::steady_timer(m_context, wait), false });
+            m_waitingCalls.push_back({ version, std::move(handler), m_timers.makeTimer(), false });
             auto& call = m_waitingCalls.back();
-            call.timer.async_wait([this, &call](const boost::system::error_code& ec) {
-                if (!ec)
-                    finish(call);
-            });
+            call.timer->start(wait, [this, &call] { finish(call); });
             if (version < m_version)
                 finish(call);
         }
@@ -72,7 +150,7 @@
         struct Call {
             std::uint64_t version;
             RowsHandler handler;
-            asio::steady_timer timer;
+            std::unique_ptr<Timer> timer;
             bool isFinished;
         };
 
@@ -89,6 +167,7 @@
         }
 
         asio::io_context& m_context;
+        Timers& m_timers;
         std::map<std::string, StoreRow> m_rows;
         std::uint64_t m_version = 1;
         std::list<Call> m_waitingCalls;
@@ -129,15 +208,14 @@
 
         void run(Duration time)
         {
-            const auto end = steadyNow() + time;
-            while (steadyNow() < end) {
-                context.restart(); // It stops when no call is in flight.
-                context.run_for(milliseconds { 20 });
+            const auto end = timers.now() + time;
+            while (timers.now() < end) {
+                timers.advance(milliseconds { 20 });
                 for (auto& instance : instances) {
                     if (instance->isStopped)
                         continue;
-                    instance->relay.tick(steadyNow());
-                    instance->follower.checkProgress(steadyNow());
+                    instance->relay.tick(timers.now());
+                    instance->follower.checkProgress(timers.now());
                 }
             }
         }
@@ -163,6 +241,7 @@
         }
 
         asio::io_context context;
+        DrivenTimers timers { context };
         NullEventLog log;
         std::vector<std::unique_ptr<Instance>> instances;
     };
@@ -174,23 +253,23 @@
 
     Instance::Instance(Fleet& fleet, std::string ownName)
         : name(std::move(ownName))
-        , store(fleet.context)
+        , store(fleet.context, fleet.timers)
         , relay(InstanceId { name }, {},
               { firstTwoInstances,
                   [this, &fleet](const std::string& to, const TablePull& pull) {
                       asio::post(fleet.context, [this, &fleet, to, pull] {
                           if (auto& target = fleet.find(to); !isStopped && !target.isStopped)
-                              target.relay.receive(name, pull, steadyNow());
+                              target.relay.receive(name, pull, fleet.timers.now());
                       });
                   },
                   [this, &fleet](const std::string& to, const TableChanges& changes) {
                       asio::post(fleet.context, [this, &fleet, to, changes] {
                           if (auto& target = fleet.find(to); !isStopped && !target.isStopped)
-                              target.relay.receive(changes, steadyNow());
+                              target.relay.receive(changes, fleet.timers.now());
                       });
                   } },
               fleet.log)
-        , follower(fleet.context, store, relay, { "servers", milliseconds { 400 }, milliseconds { 100 } },
+        , follower(fleet.timers, store, relay, { "servers", milliseconds { 400 }, milliseconds { 100 } },
               { [this](const auto& rows, auto) {
                    for (const auto& row : rows)
                        keys.insert(row.key);
@@ -201,7 +280,7 @@
                   },
                   [](bool) {} },
               fleet.log)
-        , secondFollower(fleet.context, store, relay, { "op", milliseconds { 400 }, milliseconds { 100 } },
+        , secondFollower(fleet.timers, store, relay, { "op", milliseconds { 400 }, milliseconds { 100 } },
               { [](const auto&, auto) {}, [](const auto&) {}, [](bool) {} }, fleet.log)
     {
     }
@@ -301,7 +380,7 @@
         Fleet fleet(3);
         fleet.run(milliseconds { 700 });
         auto& follower = fleet.instances[2]->follower;
-        const auto wakeTime = steadyNow();
+        const auto wakeTime = fleet.timers.now();
         CPPUNIT_ASSERT(follower.lastAttempt() < wakeTime);
         follower.confirmSince(wakeTime);
         fleet.run(milliseconds { 60 });
@@ -318,7 +397,7 @@
         fleet.run(milliseconds { 700 });
         for (int i = 0; i < 3; ++i) {
             const auto before = fleet.instances[1]->store.reads;
-            std::this_thread::sleep_for(milliseconds { 1'000 });
+            fleet.timers.pause(milliseconds { 1'000 });
             fleet.run(milliseconds { 300 });
             CPPUNIT_ASSERT_EQUAL(before, fleet.instances[1]->store.reads);
         }
