peridotd: answer a broken upload as the caller's, not the backend server's

Cause: when a streamed body broke off, requestBodyEnded() ended the pipe to the backend server first and noted in callerHasGone() that the caller had gone.

Change: requestBodyEnded() notes that the caller has gone before it ends the pipe, as refuseOversizeBody() does.

Not changed: a request that is answered before its body breaks off still keeps its connection.

--- a/daemons/peridotd/src/ForwardedRequest.cpp
+++ b/daemons/peridotd/src/ForwardedRequest.cpp
@@ -153,6 +153,10 @@
     {
         const std::lock_guard lock(m_mutex);
         isBuffered = !m_bodyPipe;
+        // Set before the pipe ends: the exchange with the backend server may fail before callerHasGone() is called, and
+        // would count as a failure of that server.
+        if (error)
+            m_isCallerGone = true;
         // A body that broke off must not look complete to the backend server.
         if (m_bodyPipe && error)
             m_bodyPipe->close(std::ios_base::out, error);
