entry, http: a leaving process ends once its last answers are delivered

Callers saw a connection end behind the first of several answers, or in the middle of one: a process that met its end late wrote the answers to its open requests and closed all connections in the same turn. Answers behind the first of a connection, or larger than the socket's buffer, wait for a later turn; requests that waited in a socket were reset.

GracefulStop now answers what is open and looks every 10 ms whether each request that has arrived is answered and the answers have reached the callers' machines (SIOCOUTQ); only then it closes the connections. The platform's kill bounds it. The listener of lookups closes as that of requests does. The line stopped told the number of open requests after they had been answered, always 0; it now tells how many were open when the end came.

--- a/libs/entry/include/entry/GracefulStop.h
+++ b/libs/entry/include/entry/GracefulStop.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 
@@ -26,7 +27,7 @@
     GracefulStop(boost::asio::io_context&, TrafficSteering&, RequestGateway&, HttpServer& callers, HttpServer& lookups,
         Duration lookupTime, EventLog&, EndHandler onEnd);
 
-    /** The platform kills the process @p grace from now. */
+    /** The platform kills the process @p grace from now. Nothing else ends it while an answer is still written. */
     void begin(Duration grace);
     bool hasBegun() const noexcept { return m_begun.has_value(); }
 
@@ -47,6 +48,7 @@
     std::optional<TimePoint> m_begun;
     TimePoint m_killTime; // When the platform ends the process.
     bool m_isDraining = false; // Connections end with their next answer.
+    std::optional<std::size_t> m_requestsAtEnd; // Open ones when the end came. Set while their answers are written.
 };
 
 }
--- a/libs/entry/src/GracefulStop.cpp
+++ b/libs/entry/src/GracefulStop.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr Duration stepInterval = std::chrono::milliseconds { 100 };
+    constexpr Duration endStepInterval = std::chrono::milliseconds { 10 }; // While the last answers are written.
     // Until then callers learn of it by lookups only.
     constexpr Duration drainDelay = std::chrono::seconds { 1 };
     // A request takes up to this long over a slow link, so that connections may still get one that was sent before.
@@ -50,7 +51,7 @@
 
 void GracefulStop::scheduleStep()
 {
-    m_timer.expires_after(stepInterval);
+    m_timer.expires_after(m_requestsAtEnd ? endStepInterval : stepInterval);
     m_timer.async_wait([this](const boost::system::error_code& ec) {
         if (!ec)
             step();
@@ -68,7 +69,8 @@
         // Connections that wait to be accepted may carry requests.
         if (m_callers.isAccepting()) {
             m_callers.stopAccepting();
-        } else if (now >= m_killTime - stopMargin || isQuiet) {
+            m_lookups.stopAccepting();
+        } else if (m_requestsAtEnd || now >= m_killTime - stopMargin || isQuiet) {
             end();
             return;
         }
@@ -88,12 +90,16 @@
 
 void GracefulStop::end()
 {
+    if (!m_requestsAtEnd)
+        m_requestsAtEnd = m_gateway.openRequests();
     // A late process may come here before the periodic check that ends the requests.
     m_gateway.endRequests();
+    if (m_gateway.openRequests() > 0 || !m_callers.isSettled() || !m_lookups.isSettled()) {
+        scheduleStep();
+        return;
+    }
     m_log.write(LogLevel::Info,
-        LogLine("stopped")
-            .add("open_requests", m_gateway.openRequests())
-            .add("connections", m_callers.connectionCount()));
+        LogLine("stopped").add("open_requests", *m_requestsAtEnd).add("connections", m_callers.connectionCount()));
     m_callers.closeAll();
     m_onEnd();
 }
--- a/libs/entry/tests/GracefulStopTest.cpp
+++ b/libs/entry/tests/GracefulStopTest.cpp
@@ -4,10 +4,13 @@
 
 #include "entry/GracefulStop.h"
 
+#include "support/ManyReadableSockets.h"
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <thread>
+#include <utility>
 
 using namespace peridot;
 using namespace std::chrono_literals;
@@ -29,6 +32,17 @@
         CPPUNIT_ASSERT(serverReceives(path));
     }
 
+    /** The process stops listening. Then it doesn't run until it is due to end, and meets that before what
+     *  @p happens. */
+    void stall(const std::function<void()>& happens = [] {})
+    {
+        CPPUNIT_ASSERT(runUntil([this] { return !callerServer.isAccepting(); }));
+        const ManyReadableSockets others(context);
+        happens();
+        std::this_thread::sleep_for(500ms);
+        CPPUNIT_ASSERT(ends());
+    }
+
     bool ends()
     {
         return runUntil([this] { return hasEnded; });
@@ -45,6 +59,8 @@
     CPPUNIT_TEST_SUITE(GracefulStopTest);
     CPPUNIT_TEST(endsOnceNothingHappens);
     CPPUNIT_TEST(serverThatStaysSilentDoesNotOutliveTheInstance);
+    CPPUNIT_TEST(allRequestsOfAConnectionAreAnsweredByALateProcess);
+    CPPUNIT_TEST(requestThatHasArrivedIsAnsweredByALateProcess);
     CPPUNIT_TEST(requestThatWaitsToBeAcceptedIsAnsweredByALateProcess);
     CPPUNIT_TEST_SUITE_END();
 
@@ -73,6 +89,34 @@
         CPPUNIT_ASSERT(instance.ends());
     }
 
+    /** A late process answers its open requests and ends at once. The answers behind the first one of a connection
+     *  wait for the next turn, and were never written. */
+    void allRequestsOfAConnectionAreAnsweredByALateProcess()
+    {
+        LeavingInstance instance;
+        instance.run("/1");
+        const auto first = std::exchange(instance.server, boost::asio::ip::tcp::socket(instance.context));
+        instance.run("/2");
+        instance.stop.begin(400ms);
+        instance.stall();
+        CPPUNIT_ASSERT(instance.receives("timed_out"));
+        const auto behindFirst = instance.received.find("timed_out") + 1;
+        CPPUNIT_ASSERT_MESSAGE(
+            instance.received, instance.received.find("timed_out", behindFirst) != std::string::npos);
+    }
+
+    /** A late process closed connections with a request that waited in the socket. */
+    void requestThatHasArrivedIsAnsweredByALateProcess()
+    {
+        LeavingInstance instance;
+        instance.run("/1");
+        instance.answer("first");
+        CPPUNIT_ASSERT(instance.receives("first"));
+        instance.stop.begin(400ms);
+        instance.stall([&] { instance.send("/2"); });
+        CPPUNIT_ASSERT_MESSAGE(instance.received, instance.receives("leaving"));
+    }
+
     /** Closing the listener resets connections that the kernel has accepted and a late process has not. */
     void requestThatWaitsToBeAcceptedIsAnsweredByALateProcess()
     {
--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -46,6 +46,8 @@
     void drain();
     /** Whether no connection has had a request, also in what its socket holds, for @p idleTime. */
     bool isQuiet(Duration idleTime) const;
+    /** Whether every request that has arrived is answered, and the answers have reached the callers' machines. */
+    bool isSettled() const;
     /** Closes the listening socket; open connections go on, those included that wait to be accepted. */
     void stopAccepting();
     bool isAccepting() const noexcept { return m_acceptor.is_open(); }
--- a/libs/http/include/http/ServerConnection.h
+++ b/libs/http/include/http/ServerConnection.h
@@ -109,6 +109,8 @@
     /** Without a request, also in what the socket holds, and not about to end. A request may still be on its way. Input
      *  that has been read and waits for its handler isn't seen: ask only if lastActivity() is some time ago. */
     bool isIdle();
+    /** Whether every request that has arrived is answered, and the caller's machine has got the answers. */
+    bool isSettled();
     /** When the last answer was written, or the connection was opened. */
     Clock::time_point lastActivity() const noexcept { return m_lastActivity; }
 
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -202,6 +202,12 @@
         [&](const auto& it) { return now - it.second->lastActivity() >= idleTime && it.second->isIdle(); });
 }
 
+bool HttpServer::isSettled() const
+{
+    return std::all_of(
+        m_connections.begin(), m_connections.end(), [](const auto& it) { return it.second->isSettled(); });
+}
+
 void HttpServer::stopAccepting()
 {
     if (!m_acceptor.is_open())
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -3,6 +3,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -21,6 +24,13 @@
     // Answers to slow readers wait this long for progress.
     constexpr std::chrono::seconds writeTimeout { 20 };
 
+    /** Whether the peer's machine has got all that was written. A close with unread input discards the rest. */
+    bool isDelivered(asio::ip::tcp::socket& socket)
+    {
+        int unsent = 0;
+        return ::ioctl(socket.native_handle(), SIOCOUTQ, &unsent) != 0 || unsent == 0;
+    }
+
 }
 
 void HttpExchange::respond(HttpResponse response)
@@ -322,6 +332,14 @@
         && pendingInput(m_socket) == PendingInput::None;
 }
 
+bool ServerConnection::isSettled()
+{
+    if (m_isClosed)
+        return true;
+    return m_exchanges.empty() && isDelivered(m_socket)
+        && (m_isLingering || pendingInput(m_socket) != PendingInput::Bytes);
+}
+
 /** Input that comes later is not read, and resets the connection, so that it can't be taken for handled. */
 void ServerConnection::closeIfIdle(CloseReason reason)
 {
