--- a/review/common/Harness.cpp
+++ b/review/common/Harness.cpp
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -158,6 +159,11 @@
 void limitRun(std::chrono::seconds limit)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    rlimit descriptors {};
+    if (::getrlimit(RLIMIT_NOFILE, &descriptors) == 0) {
+        descriptors.rlim_cur = descriptors.rlim_max;
+        ::setrlimit(RLIMIT_NOFILE, &descriptors);
+    }
     std::signal(SIGALRM, [](int) {
         for (const auto& process : entryProcesses) {
             if (process > 0)
@@ -371,19 +377,38 @@
         const int on = 1;
         ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         auto stream = std::make_shared<Stream>(descriptor);
+        auto isDone = std::make_shared<std::atomic<bool>>(false);
         const std::scoped_lock lock(m_mutex);
-        m_connections.push_back({ stream, std::thread([this, stream] {
-                                     m_handler(*stream);
-                                     stream->shutDown();
-                                 }) });
+        reap();
+        m_connections.push_back({ stream, isDone, std::thread([this, stream, isDone] { serve(*stream, *isDone); }) });
     }
 }
 
+void Listener::serve(Stream& stream, std::atomic<bool>& isDone)
+{
+    m_handler(stream);
+    const std::scoped_lock lock(m_mutex); // closeConnections() must not meet a descriptor that was given out again.
+    stream.close();
+    isDone = true;
+}
+
+void Listener::reap()
+{
+    std::erase_if(m_connections, [](auto& it) {
+        if (!*it.isDone)
+            return false;
+        it.thread.join();
+        return true;
+    });
+}
+
 void Listener::closeConnections()
 {
     const std::scoped_lock lock(m_mutex);
-    for (const auto& it : m_connections)
-        it.stream->shutDown();
+    for (const auto& it : m_connections) {
+        if (!*it.isDone)
+            it.stream->shutDown();
+    }
 }
 
 Store::Store()
--- a/review/common/Harness.h
+++ b/review/common/Harness.h
@@ -106,10 +106,14 @@
 private:
     struct Connection {
         std::shared_ptr<Stream> stream;
+        std::shared_ptr<std::atomic<bool>> isDone;
         std::thread thread;
     };
 
     void accept();
+    void serve(Stream&, std::atomic<bool>& isDone);
+    /** Joins the threads of connections that have ended. */
+    void reap();
 
     Handler m_handler;
     int m_descriptor = -1;
