--- a/libs/entry/include/entry/TableFollower.h
+++ b/libs/entry/include/entry/TableFollower.h
@@ -7,6 +7,7 @@
 #include "base/Time.h"
 #include "entry/TableRelay.h"
 #include "entry/Timers.h"
+#include "store/StoreEras.h"
 #include "store/TableFeed.h"
 
 #include <algorithm>
@@ -39,13 +40,22 @@
     Duration operationOverdueMargin = std::chrono::milliseconds { 1'500 };
 };
 
-/** Not thread-safe. */
+/** All rows of a table at one moment. */
+struct TableSnapshot {
+    const std::vector<StoreRow>& rows;
+    StorePosition position; // Of the store at the time of the read.
+    // The store has come back from an older copy since the rows received before. What was written to it since that copy
+    // is missing until it is written again.
+    bool isRestored = false;
+};
+
+/** Not thread-safe. After storeRestored(), the rows received before are replaced by the whole table of the new era,
+ * read from the store or pulled from a reader that has read it. */
 class TableFollower {
 public:
     struct Handlers {
-        /** Receives all rows of the table, which replace those received before. @p version is the version of the store
-         *  at the time of the read. */
-        std::function<void(const std::vector<StoreRow>&, std::uint64_t version)> onSnapshot;
+        /** Receives all rows of the table, which replace those received before. */
+        std::function<void(const TableSnapshot&)> onSnapshot;
         std::function<void(const std::vector<StoreRow>&)> onChanges;
         /** Called when isReached() changes. */
         std::function<void(bool isReached)> onContactChanged;
@@ -55,7 +65,7 @@
         std::function<bool(const StoreRow&)> isSignificant {};
     };
 
-    TableFollower(Timers&, TableStore&, TableRelay&, TableFollowerOptions, Handlers, EventLog&);
+    TableFollower(Timers&, TableStore&, TableRelay&, const StoreEras&, TableFollowerOptions, Handlers, EventLog&);
     ~TableFollower();
     TableFollower(const TableFollower&) = delete;
     TableFollower& operator=(const TableFollower&) = delete;
@@ -68,6 +78,8 @@
     /** Abandons an operation that began before @p since, because its result would not show the state of the table after
      *  that time, and asks for a response without a wait. */
     void confirmSince(TimePoint since);
+    /** Has to be called when StoreEras has learned a new era. Abandons an operation that began in an earlier one. */
+    void storeRestored();
     /** Whether a read of the table, from the store or a peer, has succeeded since the last failed call of the store. */
     bool isReached() const noexcept { return m_isReached; }
     /** Start time of the newest successful read of the store, by this instance or by the peer that it pulled from. The
@@ -88,10 +100,15 @@
     /** How long the store or a peer may delay the next response. */
     Duration wait() const noexcept { return m_needsConfirmation ? Duration { 0 } : m_options.wait; }
     void confirm();
+    /** Abandons the current operation and begins a new one. */
+    void beginAnew();
+    /** Whether the rows are of the newest era that is known. */
+    bool isOfNewestEra() const noexcept { return m_hasSnapshot && m_position.era == m_eras.newest(); }
     bool isCurrent(OperationId id) const noexcept { return id == m_operation; }
     /** The attempt to confirm the rows that began with the current operation has ended. */
     void attemptEnded() { m_lastAttempt = std::max(m_lastAttempt, m_operationStart); }
     void readSnapshot(const std::string& firstKey);
+    void applySnapshot(std::vector<StoreRow>, const StorePosition&, TimePoint asOf);
     void pullOrReadChanges();
     void readUnlessBackingOff();
     void pullChanges();
@@ -107,6 +124,7 @@
     Timers& m_timers;
     TableStore& m_store;
     TableRelay& m_relay;
+    const StoreEras& m_eras;
     const TableFollowerOptions m_options;
     const Handlers m_handlers;
     EventLog& m_log;
@@ -124,7 +142,8 @@
     bool m_needsConfirmation = false;
     std::vector<StoreRow> m_snapshotRows; // Rows received so far while a snapshot is read in several parts.
     TimePoint m_snapshotStart {}; // Start time of the read of its first part.
-    std::uint64_t m_version = 0;
+    StorePosition m_snapshotPosition; // Of its first part.
+    StorePosition m_position; // Of the rows received.
     Duration m_retryDelay { 0 };
     TimePoint m_asOf {};
     bool m_isReached = false;
--- a/libs/entry/include/entry/TableRelay.h
+++ b/libs/entry/include/entry/TableRelay.h
@@ -6,6 +6,7 @@
 #include "base/EventLog.h"
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "store/StoreEras.h"
 #include "store/TableFeed.h"
 
 #include <tl/expected.hpp>
@@ -60,9 +61,12 @@
  * contact with the store.
  *
  * Rows that are not significant to the reader (StoreRow::isNews is false) are not passed on, because every heartbeat of
- * a server changes a row. A peer whose version does not come from the same reader receives every changed row once
+ * a server changes a row. A peer whose position does not come from the same reader receives every changed row once
  * (TablePull::wantsAll): the peer may have read the table while an entry was missing, whereas the reader read it only
  * before the removal and after the return of the entry and considers the returned row insignificant.
+ *
+ * A peer whose position lies before the history of a table that was read whole receives the whole table, for example
+ * one of an earlier era of the store. A response of an earlier era than the newest known one counts as "not known".
  */
 class TableRelay {
 public:
@@ -75,11 +79,12 @@
     struct Changes {
         StoreRows rows;
         TimePoint asOf; // Start time of the read of the store that confirmed the rows.
+        bool isWhole = false; // The rows are all of the table.
     };
     using PullResult = tl::expected<Changes, PullFailure>;
     using PullHandler = std::function<void(PullResult)>;
 
-    TableRelay(InstanceId self, TableRelayOptions, Ports, EventLog&);
+    TableRelay(InstanceId self, TableRelayOptions, Ports, StoreEras&, EventLog&);
 
     /** Whether another instance reads the store for this one, so that pull() may be called. */
     bool canPull(TimePoint now) const { return !reader(now).address.empty(); }
@@ -95,16 +100,23 @@
     {
         m_nextDirectRead = now + m_options.failedStoreBackoff + jitter;
     }
-    /** Asks the reader for the changes after @p version. May be called only if canPull() is true. Calls the handler
+    /** Asks the reader for the changes after @p position. May be called only if canPull() is true. Calls the handler
      *  exactly once. After a failure, the reader is skipped for a while. */
-    void pull(const std::string& table, std::uint64_t version, Duration wait, TimePoint now, PullHandler);
-
-    /** Has to be called when this instance asks the store for the changes after version @p since. From now on pulls of
-     *  the table are held until the store responds. */
-    void startReading(const std::string& table, std::uint64_t since);
-    /** Has to be called when this instance has read the changes after version @p since. Empty rows mean that nothing
-     *  has changed. @p asOf is the start time of the read. */
-    void addChanges(const std::string& table, std::uint64_t since, const StoreRows&, TimePoint asOf, TimePoint now);
+    void pull(const std::string& table, const StorePosition&, Duration wait, TimePoint now, PullHandler);
+
+    /** Has to be called when this instance asks the store for the changes after @p since. From now on pulls of the
+     * table are held until the store responds. */
+    void startReading(const std::string& table, const StorePosition& since);
+    /** Has to be called when this instance has read the changes after @p since. Empty rows mean that nothing has
+     *  changed. @p asOf is the start time of the read. */
+    void addChanges(
+        const std::string& table, const StorePosition& since, const StoreRows&, TimePoint asOf, TimePoint now);
+    /** Has to be called when this instance has read the whole table. @p asOf is the start time of the read. */
+    void addSnapshot(
+        const std::string& table, const std::vector<StoreRow>&, const StorePosition&, TimePoint asOf, TimePoint now);
+    /** Has to be called when this instance is about to read the whole table anew, because the store has come back from
+     *  an older copy. Discards the history; held pulls wait for the result. */
+    void awaitSnapshot(const std::string& table);
     /** Discards the history of the table and answers held pulls with "not known". Has to be called when this instance
      *  no longer reads the table from the store or the age of its rows is unknown. */
     void stopServing(const std::string& table, TimePoint now);
@@ -120,7 +132,7 @@
 private:
     struct OpenPull {
         std::string table;
-        std::uint64_t version = 0;
+        StorePosition position;
         InstanceId reader;
         TimePoint sent;
         TimePoint deadline;
@@ -130,42 +142,52 @@
 
     struct HeldPull {
         std::string address;
-        TablePull pull;
+        TablePull pull; // With the position as StoreEras resolves it.
+        bool takesWholeTables = false; // Unlike a peer of an earlier build.
         TimePoint received;
         TimePoint deadline; // Time at which the pull is answered if nothing has changed.
     };
 
     struct ChangedRow {
         StoreRow row;
-        // Version of the newest significant change of the row, 0 if there is none.
-        std::uint64_t significantVersion = 0;
+        StorePosition significantPosition; // Of the newest significant change of the row.
     };
 
-    /** The history of a table. Invariants: changedRows holds the newest state of each row that changed after version
-     *  historyStart, up to version. newestRow is the largest version of a row in it and newestSignificant the largest
-     *  significantVersion, so that a pull without changes needs no search. */
+    /** The history of a table. Invariants: changedRows holds the newest state of each row that changed after
+     *  historyStart, up to position; if isWhole, it holds all rows of the table. newestRow is the position of the
+     * newest change in it and newestSignificant that of the newest significant one, so that a pull without changes
+     * needs no search. All positions are of one era. */
     struct Table {
-        std::uint64_t historyStart = 0;
-        std::uint64_t version = 0;
-        std::optional<TimePoint> asOf; // Start time of the newest successful read, if there is one.
+        StorePosition historyStart {};
+        StorePosition position {};
+        std::optional<TimePoint> asOf {}; // Start time of the newest successful read, if there is one.
         std::map<std::string, ChangedRow> changedRows {};
-        std::uint64_t newestRow = 0;
-        std::uint64_t newestSignificant = 0;
+        bool isWhole = false;
+        bool awaitsSnapshot = false; // Until then nothing else in here is valid but the held pulls.
+        StorePosition newestRow {};
+        StorePosition newestSignificant {};
         std::vector<HeldPull> held {}; // Pulls of peers that wait for a change.
     };
 
     TableReader reader(TimePoint now) const;
     void skipReader(const InstanceId& reader, const char* reason, Duration, TimePoint now);
-    static bool hasChangesFor(const TablePull&, const Table&);
+    static bool hasChangesFor(const HeldPull&, const Table&);
+    /** Whether the response to the pull is the whole table. */
+    static bool needsWholeTable(const HeldPull&, const Table&);
+    /** Whether the table's history covers the pull, now or once it has been read. */
+    static bool canAnswer(const HeldPull&, const Table&);
+    /** Records a read of the store in the table, and answers the held pulls for which it brings something. */
+    void readSucceeded(Table&, const StorePosition&, TimePoint asOf, TimePoint now);
     void answer(const HeldPull&, const Table*, TimePoint now);
 
     const InstanceId m_self;
     const TableRelayOptions m_options;
     const Ports m_ports;
+    StoreEras& m_eras;
     EventLog& m_log;
     std::map<std::string, Table> m_tables; // The tables that this instance reads from the store, by name.
     std::map<std::uint64_t, OpenPull> m_openPulls; // Pulls sent to a reader and not yet answered, by sequence number.
-    // By table name, the reader that this instance's version comes from. No entry if it was read from the store.
+    // By table name, the reader that this instance's position comes from. No entry if it was read from the store.
     std::map<std::string, InstanceId> m_versionSources;
     std::map<InstanceId, TimePoint> m_skippedUntil; // The time until which each skipped reader is not used.
     // Last backoff of each reader that has not provided changes since it responded that it does not know them.
--- a/libs/entry/src/TableFollower.cpp
+++ b/libs/entry/src/TableFollower.cpp
@@ -12,11 +12,12 @@
 
 }
 
-TableFollower::TableFollower(Timers& timers, TableStore& store, TableRelay& relay, TableFollowerOptions options,
-    Handlers handlers, EventLog& log)
+TableFollower::TableFollower(Timers& timers, TableStore& store, TableRelay& relay, const StoreEras& eras,
+    TableFollowerOptions options, Handlers handlers, EventLog& log)
     : m_timers(timers)
     , m_store(store)
     , m_relay(relay)
+    , m_eras(eras)
     , m_options(std::move(options))
     , m_handlers(std::move(handlers))
     , m_log(log)
@@ -60,6 +61,19 @@
 void TableFollower::confirm()
 {
     m_relay.stopServing(m_options.table, m_timers.now());
+    beginAnew();
+}
+
+void TableFollower::storeRestored()
+{
+    if (m_operation == 0 || isOfNewestEra())
+        return;
+    m_relay.awaitSnapshot(m_options.table);
+    beginAnew();
+}
+
+void TableFollower::beginAnew()
+{
     m_needsConfirmation = true;
     m_timer->cancel();
     m_overdueTimer->cancel();
@@ -90,27 +104,40 @@
             return;
         attemptEnded();
         if (!rows) {
-            storeCallFailed(rows.error(), [this] { readSnapshot({}); });
+            storeCallFailed(rows.error(), [this] { m_hasSnapshot ? pullOrReadChanges() : readSnapshot({}); });
             return;
         }
-        // The table may change between two parts. m_version is the version of the first part, so that all later changes
+        // The table may change between two parts. The position is that of the first part, so that all later changes
         // are read again as changes.
         if (m_snapshotRows.empty())
-            m_version = rows->version;
+            m_snapshotPosition = rows->position;
         std::move(rows->rows.begin(), rows->rows.end(), std::back_inserter(m_snapshotRows));
         if (rows->hasMore && !m_snapshotRows.empty()) {
             readSnapshot(m_snapshotRows.back().key + '\0');
             return;
         }
-        m_hasSnapshot = true;
         m_relay.directReadSucceeded();
-        updateSucceeded(m_snapshotStart);
-        m_relay.addChanges(m_options.table, m_version, { {}, m_version, false }, m_snapshotStart, m_timers.now());
-        m_handlers.onSnapshot(std::exchange(m_snapshotRows, {}), m_version);
+        m_relay.addSnapshot(m_options.table, m_snapshotRows, m_snapshotPosition, m_snapshotStart, m_timers.now());
+        applySnapshot(std::exchange(m_snapshotRows, {}), m_snapshotPosition, m_snapshotStart);
         callAfter(m_options.storeCallPause, [this] { pullOrReadChanges(); });
     });
 }
 
+void TableFollower::applySnapshot(std::vector<StoreRow> rows, const StorePosition& position, TimePoint asOf)
+{
+    const bool isRestored = std::exchange(m_hasSnapshot, true) && position.era > m_position.era && m_position.era;
+    m_position = position;
+    updateSucceeded(asOf);
+    if (isRestored)
+        m_log.write(LogLevel::Info,
+            LogLine("table_restored")
+                .add("table", m_options.table)
+                .add("era", *position.era)
+                .add("version", position.version)
+                .add("rows", rows.size()));
+    m_handlers.onSnapshot({ rows, position, isRestored });
+}
+
 void TableFollower::pullOrReadChanges()
 {
     if (m_relay.canPull(m_timers.now()))
@@ -122,7 +149,7 @@
 void TableFollower::readUnlessBackingOff()
 {
     if (m_relay.isReader() || m_relay.tryDirectRead(m_timers.now()))
-        readChanges();
+        isOfNewestEra() ? readChanges() : readSnapshot({});
     else if (m_relay.canPull(m_timers.now()))
         pullChanges(); // The reader that failed is skipped now, so this pulls from the next one.
     else
@@ -133,7 +160,7 @@
 {
     const auto pullWait = std::min(wait(), m_options.maximumPullWait);
     const auto operation = beginOperation("pull", pullWait);
-    m_relay.pull(m_options.table, m_version, pullWait, m_timers.now(),
+    m_relay.pull(m_options.table, m_position, pullWait, m_timers.now(),
         [this, operation, isAlive = m_isAlive](const TableRelay::PullResult& changes) {
             if (!*isAlive || !isCurrent(operation))
                 return;
@@ -149,7 +176,10 @@
             }
             // The peer reads the store, so this instance must not answer pulls from its own history any longer.
             m_relay.stopServing(m_options.table, m_timers.now());
-            applyChanges(changes->rows, changes->asOf);
+            if (changes->isWhole)
+                applySnapshot(changes->rows.rows, changes->rows.position, changes->asOf);
+            else
+                applyChanges(changes->rows, changes->asOf);
             callAfter(m_options.pullPause, [this] { pullOrReadChanges(); });
         });
 }
@@ -157,30 +187,35 @@
 void TableFollower::readChanges()
 {
     const auto operation = beginOperation("changes", wait());
-    m_relay.startReading(m_options.table, m_version);
+    m_relay.startReading(m_options.table, m_position);
     startOverdueTimer(wait() + m_options.callOverdueMargin, true);
-    m_store.changes(m_options.table, m_version, wait(), [this, operation, isAlive = m_isAlive](Result<StoreRows> rows) {
-        if (!*isAlive || !isCurrent(operation))
-            return;
-        attemptEnded();
-        m_overdueTimer->cancel();
-        if (!rows && rows.error().code == ErrorCode::NotFound) {
-            m_log.write(
-                LogLevel::Info, LogLine("table_history_lost").add("table", m_options.table).add("version", m_version));
-            readSnapshot({});
-            return;
-        }
-        if (!rows) {
-            storeCallFailed(rows.error(), [this] { pullOrReadChanges(); });
-            return;
-        }
-        m_relay.directReadSucceeded();
-        markSignificant(*rows);
-        m_relay.addChanges(m_options.table, m_version, *rows, m_operationStart, m_timers.now());
-        std::erase_if(rows->rows, [](const auto& row) { return !row.isNews; });
-        applyChanges(*rows, m_operationStart);
-        callAfter(m_options.storeCallPause, [this] { pullOrReadChanges(); });
-    });
+    m_store.changes(
+        m_options.table, m_position, wait(), [this, operation, isAlive = m_isAlive](Result<StoreRows> rows) {
+            if (!*isAlive || !isCurrent(operation))
+                return;
+            attemptEnded();
+            m_overdueTimer->cancel();
+            if (!rows && rows.error().code == ErrorCode::NotFound) {
+                m_log.write(LogLevel::Info,
+                    LogLine("table_history_lost").add("table", m_options.table).add("version", m_position.version));
+                readSnapshot({});
+                return;
+            }
+            if (!rows) {
+                storeCallFailed(rows.error(), [this] { pullOrReadChanges(); });
+                return;
+            }
+            m_relay.directReadSucceeded();
+            if (rows->position.era != m_position.era) {
+                readSnapshot({}); // The changes are those of another history.
+                return;
+            }
+            markSignificant(*rows);
+            m_relay.addChanges(m_options.table, m_position, *rows, m_operationStart, m_timers.now());
+            std::erase_if(rows->rows, [](const auto& row) { return !row.isNews; });
+            applyChanges(*rows, m_operationStart);
+            callAfter(m_options.storeCallPause, [this] { pullOrReadChanges(); });
+        });
 }
 
 void TableFollower::startOverdueTimer(Duration delay, bool mayBeLate)
@@ -206,7 +241,7 @@
 
 void TableFollower::applyChanges(const StoreRows& rows, TimePoint asOf)
 {
-    m_version = std::max(m_version, rows.version);
+    m_position = std::max(m_position, rows.position);
     updateSucceeded(asOf);
     if (!rows.rows.empty())
         m_handlers.onChanges(rows.rows);
@@ -219,7 +254,8 @@
     m_asOf = std::max(m_asOf, asOf);
     if (std::exchange(m_isReached, true))
         return;
-    m_log.write(LogLevel::Info, LogLine("store_reached").add("table", m_options.table).add("version", m_version));
+    m_log.write(
+        LogLevel::Info, LogLine("store_reached").add("table", m_options.table).add("version", m_position.version));
     m_handlers.onContactChanged(true);
 }
 
--- a/libs/entry/src/TableRelay.cpp
+++ b/libs/entry/src/TableRelay.cpp
@@ -13,10 +13,11 @@
 
 }
 
-TableRelay::TableRelay(InstanceId self, TableRelayOptions options, Ports ports, EventLog& log)
+TableRelay::TableRelay(InstanceId self, TableRelayOptions options, Ports ports, StoreEras& eras, EventLog& log)
     : m_self(std::move(self))
     , m_options(options)
     , m_ports(std::move(ports))
+    , m_eras(eras)
     , m_log(log)
 {
 }
@@ -55,15 +56,16 @@
 }
 
 void TableRelay::pull(
-    const std::string& table, std::uint64_t version, Duration wait, TimePoint now, PullHandler handler)
+    const std::string& table, const StorePosition& known, Duration wait, TimePoint now, PullHandler handler)
 {
     const auto target = reader(now);
+    const auto position = m_eras.resolve(known).value_or(known);
     const auto sequence = ++m_sequence;
     const auto source = m_versionSources.find(table);
     const bool wantsAll = source == m_versionSources.end() || source->second != target.id;
-    m_openPulls.emplace(
-        sequence, OpenPull { table, version, target.id, now, now + wait + m_options.answerMargin, std::move(handler) });
-    m_ports.sendPull(target.address, { sequence, table, version, wait, wantsAll });
+    m_openPulls.emplace(sequence,
+        OpenPull { table, position, target.id, now, now + wait + m_options.answerMargin, std::move(handler) });
+    m_ports.sendPull(target.address, { sequence, table, position, wait, wantsAll, m_eras.newest() });
 }
 
 void TableRelay::receive(const TableChanges& changes, TimePoint now)
@@ -72,7 +74,9 @@
     if (node.empty())
         return;
     const auto& pull = node.mapped();
-    if (!changes.isKnown) {
+    const auto position = m_eras.resolve(changes.position);
+    const bool isOfPulledEra = position && position->era == pull.position.era;
+    if (!changes.isKnown || !position || position->era < m_eras.newest() || (!changes.isWhole && !isOfPulledEra)) {
         auto& backoff = m_unknownChangesBackoffs[pull.reader];
         backoff = std::clamp(backoff * 2, m_options.unknownChangesBackoff, m_options.maximumUnknownChangesBackoff);
         skipReader(pull.reader, "not_known", backoff, now);
@@ -80,54 +84,99 @@
         return;
     }
     m_unknownChangesBackoffs.erase(pull.reader);
-    // If the reader's version is older than that of the pull, it has not yet read all that this instance has received,
-    // and does not count as the source of its version.
-    if (changes.version >= pull.version)
+    // If the reader's position is older than that of the pull, it has not yet read all that this instance has received,
+    // and does not count as the source of its position.
+    if (*position >= pull.position)
         m_versionSources.insert_or_assign(pull.table, pull.reader);
     // The transit time of both messages is added to the age, because the response may have been delayed in transit.
     const auto transitTime = std::max(now - pull.sent - changes.held, Duration { 0 });
-    pull.handler(Changes { { changes.rows, changes.version, false }, now - changes.age - transitTime });
+    auto rows = changes.rows;
+    for (auto& row : rows)
+        row.position.era = position->era;
+    pull.handler(Changes { { std::move(rows), *position, false }, now - changes.age - transitTime, changes.isWhole });
+    // After the response has been applied, so that the follower of this table need not ask again.
+    m_eras.learn(position->era, pull.reader.value());
 }
 
 /** Registers the table before the first response of the store. Otherwise a reader that the store refuses and that pulls
  *  from the next reader would be answered "not known" while that reader waits for its first response, and would receive
  *  changes seconds late. */
-void TableRelay::startReading(const std::string& name, std::uint64_t since)
+void TableRelay::startReading(const std::string& name, const StorePosition& since)
 {
-    m_tables.try_emplace(name, Table { since, since, std::nullopt });
+    m_tables.try_emplace(name, Table { .historyStart = since, .position = since });
 }
 
 void TableRelay::addChanges(
-    const std::string& name, std::uint64_t since, const StoreRows& rows, TimePoint asOf, TimePoint now)
+    const std::string& name, const StorePosition& since, const StoreRows& rows, TimePoint asOf, TimePoint now)
 {
     auto& table = m_tables[name];
-    if (table.version != since || table.changedRows.size() + rows.rows.size() > m_options.maximumHistoryRows) {
+    if (table.position != since || table.changedRows.size() + rows.rows.size() > m_options.maximumHistoryRows) {
         table.changedRows.clear();
-        table.newestRow = table.newestSignificant = 0;
+        table.isWhole = false;
+        table.newestRow = table.newestSignificant = {};
         table.historyStart = since;
     }
     m_versionSources.erase(name);
     for (const auto& row : rows.rows) {
         auto& changed = table.changedRows[row.key];
         changed.row = row;
-        table.newestRow = std::max(table.newestRow, row.version);
+        table.newestRow = std::max(table.newestRow, row.position);
         if (row.isNews) {
-            changed.significantVersion = row.version;
-            table.newestSignificant = std::max(table.newestSignificant, row.version);
+            changed.significantPosition = row.position;
+            table.newestSignificant = std::max(table.newestSignificant, row.position);
         }
     }
-    table.version = std::max(rows.version, since);
+    readSucceeded(table, std::max(rows.position, since), asOf, now);
+}
+
+void TableRelay::addSnapshot(const std::string& name, const std::vector<StoreRow>& rows, const StorePosition& position,
+    TimePoint asOf, TimePoint now)
+{
+    auto& table = m_tables[name];
+    table = Table { .historyStart = position, .held = std::move(table.held) };
+    table.isWhole = rows.size() <= m_options.maximumHistoryRows;
+    m_versionSources.erase(name);
+    if (table.isWhole) {
+        for (const auto& row : rows)
+            table.changedRows.insert_or_assign(row.key, ChangedRow { row, {} });
+    }
+    readSucceeded(table, position, asOf, now);
+}
+
+void TableRelay::readSucceeded(Table& table, const StorePosition& position, TimePoint asOf, TimePoint now)
+{
+    table.position = position;
     table.asOf = asOf;
+    table.awaitsSnapshot = false;
     const auto firstAnswerable = std::stable_partition(table.held.begin(), table.held.end(),
-        [&](const auto& held) { return !hasChangesFor(held.pull, table) && held.pull.wait > Duration { 0 }; });
+        [&](const auto& held) { return !hasChangesFor(held, table) && held.pull.wait > Duration { 0 }; });
     for (auto it = firstAnswerable; it != table.held.end(); ++it)
         answer(*it, &table, now);
     table.held.erase(firstAnswerable, table.held.end());
 }
 
-bool TableRelay::hasChangesFor(const TablePull& pull, const Table& table)
+void TableRelay::awaitSnapshot(const std::string& name)
+{
+    if (const auto it = m_tables.find(name); it != m_tables.end())
+        it->second = Table { .awaitsSnapshot = true, .held = std::move(it->second.held) };
+}
+
+bool TableRelay::hasChangesFor(const HeldPull& held, const Table& table)
+{
+    return held.pull.position < table.historyStart
+        || (held.pull.wantsAll ? table.newestRow : table.newestSignificant) > held.pull.position;
+}
+
+bool TableRelay::needsWholeTable(const HeldPull& held, const Table& table)
+{
+    return held.pull.position < table.historyStart;
+}
+
+bool TableRelay::canAnswer(const HeldPull& held, const Table& table)
 {
-    return (pull.wantsAll ? table.newestRow : table.newestSignificant) > pull.version;
+    if (table.awaitsSnapshot)
+        return held.takesWholeTables;
+    return !needsWholeTable(held, table) || (table.isWhole && held.takesWholeTables);
 }
 
 void TableRelay::stopServing(const std::string& name, TimePoint now)
@@ -147,16 +196,21 @@
 
 void TableRelay::receive(const std::string& senderAddress, const TablePull& pull, TimePoint now)
 {
-    HeldPull held { senderAddress, pull, now, now + std::min(pull.wait, maximumPullWait) };
+    // Before the table is looked at, because a new era discards it.
+    const auto newestEra = std::max(pull.newestEra, pull.position.era);
+    m_eras.learn(newestEra, senderAddress);
+    const auto position = m_eras.resolve(pull.position);
+    HeldPull held { senderAddress, pull, newestEra.has_value(), now, now + std::min(pull.wait, maximumPullWait) };
+    held.pull.position = position.value_or(StorePosition {});
     const auto it = m_tables.find(pull.table);
-    if (it == m_tables.end() || pull.version < it->second.historyStart) {
+    if (it == m_tables.end() || !position || !canAnswer(held, it->second)) {
         answer(held, nullptr, now);
         return;
     }
     auto& table = it->second;
     if (!table.asOf)
         held.deadline = std::max(held.deadline, now + m_options.firstResponseWait);
-    if (hasChangesFor(pull, table) || held.deadline <= now)
+    if ((table.asOf && hasChangesFor(held, table)) || held.deadline <= now)
         answer(held, &table, now);
     else
         table.held.push_back(held);
@@ -168,13 +222,15 @@
 {
     TableChanges changes;
     changes.sequence = held.pull.sequence;
-    if (table && table->asOf && held.pull.version >= table->historyStart) {
+    if (table && table->asOf && canAnswer(held, *table)) {
         changes.isKnown = true;
-        changes.version = table->version;
+        changes.position = table->position;
+        changes.isWhole = needsWholeTable(held, *table);
         changes.age = now - *table->asOf;
         changes.held = now - held.received;
         for (const auto& [key, changed] : table->changedRows) {
-            if ((held.pull.wantsAll ? changed.row.version : changed.significantVersion) > held.pull.version)
+            const auto& position = held.pull.wantsAll ? changed.row.position : changed.significantPosition;
+            if (changes.isWhole ? !changed.row.isRemoved : position > held.pull.position)
                 changes.rows.push_back(changed.row);
         }
     }
--- a/libs/entry/tests/TableFollowerTest.cpp
+++ b/libs/entry/tests/TableFollowerTest.cpp
@@ -101,76 +101,160 @@
     /** A store with one table. It calls its handlers on the io_context. */
     class FakeStore final : public TableStore {
     public:
-        FakeStore(asio::io_context& context, Timers& timers)
+        FakeStore(asio::io_context& context, Timers& timers, StoreEras& eras)
             : m_context(context)
             , m_timers(timers)
+            , m_eras(eras)
         {
         }
 
-        void read(const std::string&, const std::string&, RowsHandler handler) override
+        void read(const std::string&, const std::string& from, RowsHandler handler) override
         {
             ++reads;
-            StoreRows all { {}, m_version, false };
-            for (const auto& [key, row] : m_rows)
-                all.rows.push_back(row);
-            asio::post(m_context, [handler = std::move(handler), all] { handler(all); });
+            if (isDown) {
+                deliver(std::move(handler), unavailable());
+                return;
+            }
+            StoreRows part { {}, StorePosition { m_state.version }, false };
+            for (auto it = m_state.rows.lower_bound(from); it != m_state.rows.end() && !part.hasMore; ++it) {
+                if (part.rows.size() < partRows)
+                    part.rows.push_back(it->second);
+                else
+                    part.hasMore = true;
+            }
+            deliver(std::move(handler), part);
         }
 
-        void changes(const std::string&, std::uint64_t version, Duration wait, RowsHandler handler) override
+        void changes(const std::string&, const StorePosition& position, Duration wait, RowsHandler handler) override
         {
             ++reads;
             if (losesCalls)
                 return;
             if (isDown) {
-                asio::post(m_context, [handler = std::move(handler)] {
-                    handler(makeError(ErrorCode::Unavailable, "read changes", "store", "down"));
-                });
+                deliver(std::move(handler), unavailable());
                 return;
             }
-            m_waitingCalls.push_back({ version, std::move(handler), m_timers.makeTimer(), false });
+            if (position.version > m_state.version) {
+                deliver(std::move(handler), makeError(ErrorCode::NotFound, "read changes", "store", "gone"));
+                return;
+            }
+            m_waitingCalls.push_back(
+                { position.version, std::move(handler), m_timers.makeTimer(), m_eras.newest(), false });
             auto& call = m_waitingCalls.back();
             call.timer->start(wait, [this, &call] { finish(call); });
-            if (version < m_version)
+            if (position.version < m_state.version)
                 finish(call);
         }
 
-        void put(const std::string& key)
+        void put(const std::string& key, const std::string& value = "value")
         {
-            ++m_version;
-            m_rows[key] = { key, "value", m_version, false };
+            ++m_state.version;
+            m_state.rows[key] = { key, value, StorePosition { m_state.version }, false };
             for (auto& call : m_waitingCalls)
                 finish(call);
         }
 
+        void takeCopy() { m_copy = m_state; }
+
+        /** Comes back from the copy: versions are given out again. Calls that wait end without a result. */
+        void restore()
+        {
+            m_state = m_copy;
+            ++m_era;
+            for (auto& call : m_waitingCalls) {
+                if (!std::exchange(call.isFinished, true))
+                    deliver(call.handler, unavailable());
+            }
+        }
+
+        /** Answers the waiting calls now, and delivers these responses with deliverDelayed(). */
+        void delayResponses()
+        {
+            m_isDelaying = true;
+            for (auto& call : m_waitingCalls)
+                finish(call);
+            m_isDelaying = false;
+        }
+
+        void deliverDelayed()
+        {
+            for (auto& response : std::exchange(m_delayed, {}))
+                asio::post(m_context, std::move(response));
+        }
+
         std::size_t reads = 0;
+        std::size_t partRows = 500; // Returned in one call.
         bool isDown = false;
         bool losesCalls = false; // Calls never end.
+        bool statesEra = true;
 
     private:
         struct Call {
             std::uint64_t version;
             RowsHandler handler;
             std::unique_ptr<Timer> timer;
+            std::optional<StoreEra> newestAtCall;
             bool isFinished;
         };
 
+        struct State {
+            std::map<std::string, StoreRow> rows;
+            std::uint64_t version = 1;
+        };
+
+        static tl::unexpected<Error> unavailable()
+        {
+            return makeError(ErrorCode::Unavailable, "read", "store", "down");
+        }
+
         void finish(Call& call)
         {
             if (std::exchange(call.isFinished, true))
                 return;
-            StoreRows changed { {}, m_version, false };
-            for (const auto& [key, row] : m_rows) {
-                if (row.version > call.version)
+            StoreRows changed { {}, StorePosition { m_state.version }, false };
+            for (const auto& [key, row] : m_state.rows) {
+                if (row.position.version > call.version)
                     changed.rows.push_back(row);
             }
-            asio::post(m_context, [&call, changed] { call.handler(changed); });
+            deliver(call.handler, changed, call.newestAtCall);
+        }
+
+        void deliver(RowsHandler handler, Result<StoreRows> result)
+        {
+            deliver(std::move(handler), std::move(result), m_eras.newest());
+        }
+
+        /** Responses state the era as PlatformStore reads it; calls without one state nothing. */
+        void deliver(RowsHandler handler, Result<StoreRows> result, std::optional<StoreEra> newestAtCall)
+        {
+            const bool isResponse = result || result.error().code == ErrorCode::NotFound;
+            const auto stated = statesEra ? std::optional(m_era) : std::nullopt;
+            auto response = [this, handler = std::move(handler), result = std::move(result), newestAtCall, isResponse,
+                                stated]() mutable {
+                if (isResponse && !m_eras.acceptResponse(stated, newestAtCall))
+                    result = unavailable();
+                if (result) {
+                    result->position.era = m_eras.newest();
+                    for (auto& row : result->rows)
+                        row.position.era = m_eras.newest();
+                }
+                handler(std::move(result));
+            };
+            if (m_isDelaying)
+                m_delayed.emplace_back(std::move(response));
+            else
+                asio::post(m_context, std::move(response));
         }
 
         asio::io_context& m_context;
         Timers& m_timers;
-        std::map<std::string, StoreRow> m_rows;
-        std::uint64_t m_version = 1;
+        StoreEras& m_eras;
+        State m_state;
+        State m_copy;
+        StoreEra m_era = 1;
         std::list<Call> m_waitingCalls;
+        std::vector<std::function<void()>> m_delayed;
+        bool m_isDelaying = false;
     };
 
     class Fleet;
@@ -179,7 +263,14 @@
     public:
         Instance(Fleet&, std::string name);
 
+        bool hasValue(const std::string& key, const std::string& value) const
+        {
+            const auto it = rows.find(key);
+            return it != rows.end() && it->second == value;
+        }
+
         std::string name;
+        StoreEras eras;
         // Each instance has a store object of its own, so that the store can fail for one of them. All hold the same
         // rows.
         FakeStore store;
@@ -187,6 +278,8 @@
         TableFollower follower;
         TableFollower secondFollower; // Follows another table.
         std::set<std::string> keys;
+        std::map<std::string, std::string> rows; // Values by key, of the table that is followed.
+        std::size_t snapshots = 0;
         bool isStopped = false; // A stopped instance neither receives nor sends messages.
     };
 
@@ -220,10 +313,34 @@
             }
         }
 
-        void put(const std::string& key)
+        void put(const std::string& key, const std::string& value = "value")
         {
             for (auto& instance : instances)
-                instance->store.put(key);
+                instance->store.put(key, value);
+        }
+
+        void takeCopy()
+        {
+            for (auto& instance : instances)
+                instance->store.takeCopy();
+        }
+
+        void restore()
+        {
+            for (auto& instance : instances)
+                instance->store.restore();
+        }
+
+        bool allHaveValue(const std::string& key, const std::string& value) const
+        {
+            return std::all_of(instances.begin(), instances.end(),
+                [&](const auto& instance) { return instance->isStopped || instance->hasValue(key, value); });
+        }
+
+        bool nobodyHas(const std::string& key) const
+        {
+            return std::none_of(
+                instances.begin(), instances.end(), [&](const auto& instance) { return instance->rows.contains(key); });
         }
 
         std::size_t reads() const
@@ -253,7 +370,13 @@
 
     Instance::Instance(Fleet& fleet, std::string ownName)
         : name(std::move(ownName))
-        , store(fleet.context, fleet.timers)
+        , eras(
+              [this] {
+                  follower.storeRestored();
+                  secondFollower.storeRestored();
+              },
+              fleet.log)
+        , store(fleet.context, fleet.timers, eras)
         , relay(InstanceId { name }, {},
               { firstTwoInstances,
                   [this, &fleet](const std::string& to, const TablePull& pull) {
@@ -268,20 +391,26 @@
                               target.relay.receive(changes, fleet.timers.now());
                       });
                   } },
-              fleet.log)
-        , follower(fleet.timers, store, relay, { "servers", milliseconds { 400 }, milliseconds { 100 } },
-              { [this](const auto& rows, auto) {
-                   for (const auto& row : rows)
+              eras, fleet.log)
+        , follower(fleet.timers, store, relay, eras, { "servers", milliseconds { 400 }, milliseconds { 100 } },
+              { [this](const TableSnapshot& snapshot) {
+                   ++snapshots;
+                   rows.clear();
+                   for (const auto& row : snapshot.rows) {
                        keys.insert(row.key);
+                       rows.insert_or_assign(row.key, row.value);
+                   }
                },
-                  [this](const auto& rows) {
-                      for (const auto& row : rows)
+                  [this](const auto& changes) {
+                      for (const auto& row : changes) {
                           keys.insert(row.key);
+                          rows.insert_or_assign(row.key, row.value);
+                      }
                   },
                   [](bool) {} },
               fleet.log)
-        , secondFollower(fleet.timers, store, relay, { "op", milliseconds { 400 }, milliseconds { 100 } },
-              { [](const auto&, auto) {}, [](const auto&) {}, [](bool) {} }, fleet.log)
+        , secondFollower(fleet.timers, store, relay, eras, { "op", milliseconds { 400 }, milliseconds { 100 } },
+              { [](const auto&) {}, [](const auto&) {}, [](bool) {} }, fleet.log)
     {
     }
 
@@ -298,6 +427,14 @@
     CPPUNIT_TEST(pausedReaderKeepsItsHistory);
     CPPUNIT_TEST(outageCausesFewStoreCalls);
     CPPUNIT_TEST(oneTableRetriesForAllInAnOutage);
+    CPPUNIT_TEST(changeAfterARestoreReachesAll);
+    CPPUNIT_TEST(rowsThatTheCopyLacksAreDropped);
+    CPPUNIT_TEST(secondRestoreFromTheSameCopyIsFollowed);
+    CPPUNIT_TEST(restoreReachesAnInstanceWithoutTheStore);
+    CPPUNIT_TEST(readerThatNoticesTheRestoreLastDelaysNobody);
+    CPPUNIT_TEST(responseFromBeforeTheRestoreIsDropped);
+    CPPUNIT_TEST(snapshotInPartsBeginsAnewAfterARestore);
+    CPPUNIT_TEST(restoreCausesFewStoreCalls);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -445,6 +582,140 @@
         fleet.run(milliseconds { 2'500 });
         CPPUNIT_ASSERT(fleet.allHaveKey("five"));
     }
+
+    // The store came back from an older copy and gave versions out again. Instances that pull kept the higher version
+    // from before, and never received what was written below it.
+    void changeAfterARestoreReachesAll()
+    {
+        Fleet fleet(6);
+        writeAndRestore(fleet);
+        fleet.run(milliseconds { 2'000 });
+        fleet.put("server", "leaving");
+        fleet.run(milliseconds { 700 });
+        CPPUNIT_ASSERT(fleet.allHaveValue("server", "leaving"));
+    }
+
+    // What was written after the copy is gone from the store; instances kept it for ever.
+    void rowsThatTheCopyLacksAreDropped()
+    {
+        Fleet fleet(6);
+        writeAndRestore(fleet);
+        fleet.run(milliseconds { 2'000 });
+        CPPUNIT_ASSERT(fleet.nobodyHas("lost-9"));
+        CPPUNIT_ASSERT(fleet.allHaveValue("server", "ready"));
+    }
+
+    // Between two restores from one copy, the same versions are given out for the third time.
+    void secondRestoreFromTheSameCopyIsFollowed()
+    {
+        Fleet fleet(6);
+        writeAndRestore(fleet);
+        fleet.run(milliseconds { 2'000 });
+        fleet.put("server", "between");
+        fleet.put("further");
+        fleet.run(milliseconds { 700 });
+        CPPUNIT_ASSERT(fleet.allHaveValue("server", "between"));
+        fleet.restore();
+        fleet.run(milliseconds { 2'000 });
+        CPPUNIT_ASSERT(fleet.allHaveValue("server", "ready"));
+        CPPUNIT_ASSERT(fleet.nobodyHas("further"));
+        fleet.put("server", "leaving");
+        fleet.run(milliseconds { 700 });
+        CPPUNIT_ASSERT(fleet.allHaveValue("server", "leaving"));
+    }
+
+    // The store serves the readers only. The others learn from them, whose history begins with the restore.
+    void restoreReachesAnInstanceWithoutTheStore()
+    {
+        Fleet fleet(6);
+        fleet.run(milliseconds { 700 });
+        for (std::size_t i = 2; i < fleet.instances.size(); ++i)
+            fleet.instances[i]->store.isDown = true;
+        writeAndRestore(fleet);
+        fleet.run(milliseconds { 2'500 });
+        CPPUNIT_ASSERT(fleet.allHaveValue("server", "ready"));
+        CPPUNIT_ASSERT(fleet.nobodyHas("lost-9"));
+        fleet.put("server", "leaving");
+        fleet.run(milliseconds { 700 });
+        CPPUNIT_ASSERT(fleet.allHaveValue("server", "leaving"));
+    }
+
+    // The reader waits for the store when another instance learns of the restore.
+    void readerThatNoticesTheRestoreLastDelaysNobody()
+    {
+        Fleet fleet(6);
+        writeAndRestore(fleet);
+        fleet.instances[5]->eras.learn(2, "store");
+        fleet.run(milliseconds { 2'000 });
+        for (const auto& instance : fleet.instances)
+            CPPUNIT_ASSERT(instance->eras.newest() == StoreEra { 2 });
+        CPPUNIT_ASSERT(fleet.allHaveValue("server", "ready"));
+    }
+
+    // A response that the store gave before its return may arrive after one that it gave later.
+    void responseFromBeforeTheRestoreIsDropped()
+    {
+        Fleet fleet(1);
+        fleet.run(milliseconds { 700 });
+        fleet.put("server", "ready");
+        fleet.takeCopy();
+        fleet.run(milliseconds { 700 });
+        auto& instance = *fleet.instances[0];
+        instance.store.put("unread");
+        instance.store.put("server", "lost");
+        instance.store.delayResponses();
+        fleet.restore();
+        instance.eras.learn(2, "store");
+        fleet.run(milliseconds { 700 });
+        CPPUNIT_ASSERT(fleet.allHaveValue("server", "ready"));
+        instance.store.deliverDelayed();
+        fleet.run(milliseconds { 700 });
+        CPPUNIT_ASSERT(fleet.allHaveValue("server", "ready"));
+    }
+
+    // Parts that were read before and after the store's return make no table.
+    void snapshotInPartsBeginsAnewAfterARestore()
+    {
+        Fleet fleet(1);
+        auto& instance = *fleet.instances[0];
+        instance.store.partRows = 2;
+        fleet.put("a", "ready");
+        fleet.takeCopy();
+        for (const auto* key : { "b", "c", "d", "e" })
+            fleet.put(key, "lost");
+        fleet.run(milliseconds { 20 });
+        fleet.restore();
+        fleet.run(milliseconds { 1'500 });
+        CPPUNIT_ASSERT(fleet.allHaveValue("a", "ready"));
+        for (const auto* key : { "b", "c", "d", "e" })
+            CPPUNIT_ASSERT(fleet.nobodyHas(key));
+    }
+
+    // 20 instances that read the table whole at the moment of the store's return would load it 20-fold.
+    void restoreCausesFewStoreCalls()
+    {
+        Fleet fleet(20);
+        writeAndRestore(fleet);
+        const auto before = fleet.reads();
+        fleet.run(milliseconds { 2'500 });
+        CPPUNIT_ASSERT(fleet.allHaveValue("server", "ready"));
+        // As in an outage: one call by each instance, and the retries of the readers, with one for the whole table.
+        CPPUNIT_ASSERT(fleet.reads() - before <= 20 + 2 * 9);
+    }
+
+private:
+    /** Lets the fleet read rows that the store then loses. */
+    static void writeAndRestore(Fleet& fleet)
+    {
+        fleet.run(milliseconds { 700 });
+        fleet.put("server", "ready");
+        fleet.run(milliseconds { 700 });
+        fleet.takeCopy();
+        for (int i = 0; i < 10; ++i)
+            fleet.put("lost-" + std::to_string(i));
+        fleet.run(milliseconds { 700 });
+        fleet.restore();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TableFollowerTest);
--- a/libs/steering/tests/ServerRegistryTest.cpp
+++ b/libs/steering/tests/ServerRegistryTest.cpp
@@ -43,6 +43,11 @@
     CPPUNIT_TEST(onlyHeartbeatsLeaveAnEntryCurrent);
     CPPUNIT_TEST(shortOutageKeepsNoMissingEntries);
     CPPUNIT_TEST(refusedEntryIsNewsOnce);
+    CPPUNIT_TEST(leavingServerStaysSoInARestoredList);
+    CPPUNIT_TEST(removedServerGetsNoRequestsByARestoredList);
+    CPPUNIT_TEST(serversThatTheCopyLacksAreKeptForAMoment);
+    CPPUNIT_TEST(firstHeartbeatAfterARestoreIsHandedOn);
+    CPPUNIT_TEST(removalInTheNewEraIsObeyedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -165,6 +170,89 @@
             CPPUNIT_ASSERT(!registry.isRefused(server(1).id));
         }
     }
+
+    /** The copy says that a server is ready which has said since that it leaves. Until it says so again, it got
+     *  requests. */
+    void leavingServerStaysSoInARestoredList()
+    {
+        ServerRegistry registry({});
+        registry.replace(servers(4), start);
+        auto leaving = server(1);
+        leaving.isLeaving = true;
+        registry.put(leaving);
+        registry.replaceByRestored(servers(4), start + 1s);
+        CPPUNIT_ASSERT(registry.servers()[1].isLeaving);
+        CPPUNIT_ASSERT(!registry.expire(start + 8s));
+        CPPUNIT_ASSERT(registry.expire(start + 9s)); // Nobody has confirmed it.
+        CPPUNIT_ASSERT(!registry.servers()[1].isLeaving);
+        // What the server writes after the return holds at once.
+        registry.put(leaving);
+        registry.replaceByRestored(servers(4), start + 10s);
+        registry.put(server(1));
+        CPPUNIT_ASSERT(!registry.servers()[1].isLeaving);
+        CPPUNIT_ASSERT(!registry.expire(start + 60s));
+    }
+
+    /** The copy lists a server that has ended since. */
+    void removedServerGetsNoRequestsByARestoredList()
+    {
+        ServerRegistry registry({});
+        registry.replace(servers(4), start);
+        registry.remove(BackendServerId("i-1"), start + 1s);
+        registry.resolveMissing();
+        registry.replaceByRestored(servers(4), start + 5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, registry.servers().size());
+        CPPUNIT_ASSERT(registry.servers()[1].isLeaving);
+        CPPUNIT_ASSERT(!registry.isCurrent(server(1), start + 6s));
+        registry.put(server(1));
+        CPPUNIT_ASSERT(!registry.servers()[1].isLeaving);
+        // A server that has started anew under the id is another one.
+        registry.remove(BackendServerId("i-1"), start + 20s);
+        auto restarted = servers(4);
+        restarted[1].incarnation = 2;
+        registry.replaceByRestored(restarted, start + 21s);
+        CPPUNIT_ASSERT(!registry.servers()[1].isLeaving);
+    }
+
+    /** Servers that registered after the copy write their entries again within two seconds. However few they are, they
+     *  were dropped until then. */
+    void serversThatTheCopyLacksAreKeptForAMoment()
+    {
+        ServerRegistry registry({});
+        registry.replace(servers(20), start);
+        registry.replaceByRestored(servers(18), start + 1s);
+        registry.put(server(3));
+        registry.resolveMissing();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 20 }, registry.servers().size());
+        registry.put(server(18));
+        CPPUNIT_ASSERT(registry.expire(start + 3s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 19 }, registry.servers().size());
+    }
+
+    /** A reader took the heartbeat of a leaving server for one that says nothing new, because it knew the notice from
+     *  before the store's return. Peers that did not know it never received it. */
+    void firstHeartbeatAfterARestoreIsHandedOn()
+    {
+        ServerRegistry registry({});
+        auto leaving = server(1);
+        leaving.isLeaving = true;
+        registry.replace({ server(0), leaving }, start);
+        registry.replaceByRestored(servers(2), start + 1s);
+        CPPUNIT_ASSERT(!registry.isCurrent(leaving, start + 2s));
+        registry.put(leaving);
+        CPPUNIT_ASSERT(registry.isCurrent(leaving, start + 2s));
+    }
+
+    /** Its entry was kept with those that the copy lacks. */
+    void removalInTheNewEraIsObeyedAtOnce()
+    {
+        ServerRegistry registry({});
+        registry.replace(servers(20), start);
+        registry.replaceByRestored(servers(20), start + 1s);
+        registry.remove(BackendServerId("i-3"), start + 2s);
+        registry.resolveMissing();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 19 }, registry.servers().size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerRegistryTest);
--- a/libs/store/include/store/TableFeed.h
+++ b/libs/store/include/store/TableFeed.h
@@ -5,9 +5,11 @@
 
 #include "base/Error.h"
 #include "base/Time.h"
+#include "store/StorePosition.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,14 +19,14 @@
 struct StoreRow {
     std::string key;
     std::string value;
-    std::uint64_t version = 0;
+    StorePosition position; // Of its newest change.
     bool isRemoved = false;
     bool isNews = true; // False if a reader found that only its version and the like have changed. Not on the wire.
 };
 
 struct StoreRows {
     std::vector<StoreRow> rows;
-    std::uint64_t version = 0; // Newest version of the store at the time of the answer.
+    StorePosition position; // Newest one of the store at the time of the answer.
     bool hasMore = false;
 };
 
@@ -37,29 +39,32 @@
 
     /** Reads rows of @p table from key @p from on. */
     virtual void read(const std::string& table, const std::string& from, RowsHandler) = 0;
-    /** Reads the changes after @p version, waiting up to @p wait for one. NotFound: the history no longer reaches back
-     *  so far. */
-    virtual void changes(const std::string& table, std::uint64_t version, Duration wait, RowsHandler) = 0;
+    /** Reads the changes after @p position, waiting up to @p wait for one. NotFound: the history no longer reaches back
+     *  so far, or the store has come back without it. The rows are those of the era of the answer, which may be another
+     *  one than that of @p position. */
+    virtual void changes(const std::string& table, const StorePosition& position, Duration wait, RowsHandler) = 0;
 };
 
-/** Asks a peer for the changes of a table after a version. */
+/** Asks a peer for the changes of a table after a position. */
 struct TablePull {
     std::uint64_t sequence = 0;
     std::string table;
-    std::uint64_t version = 0;
+    StorePosition position; // Without an era if the peer runs an earlier build, or the store states none.
     Duration wait { 0 }; // The answer may be held this long until there is a change.
-    // The version was not told by the asked peer and may hold a state that it never saw. The answer has to name every
+    // The position was not told by the asked peer and may hold a state that it never saw. The answer has to name every
     // row that has changed since, whether it was news to the peer or not.
     bool wantsAll = false;
+    std::optional<StoreEra> newestEra {}; // That the peer knows of. The position may be one of an earlier era.
 };
 
 struct TableChanges {
     std::uint64_t sequence = 0; // Of the pull.
     bool isKnown = false; // The peer reads the table itself, has contact and knows all changes since.
-    std::uint64_t version = 0;
+    StorePosition position; // Without an era as in TablePull; the rows are of the same era.
     Duration age { 0 }; // Since the peer's newest read of the store began.
     Duration held { 0 }; // How long the peer has waited for a change.
     std::vector<StoreRow> rows;
+    bool isWhole = false; // The rows are all of the table. Only for peers that state an era.
 };
 
 }
--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -298,17 +298,29 @@
         return to;
     }
 
+    /** Without the era, which the message states once for all rows. */
     void write(const StoreRow& from, proto::TableRow& to)
     {
         to.set_key(from.key);
         to.set_value(from.value);
-        to.set_version(from.version);
+        to.set_version(from.position.version);
         to.set_is_removed(from.isRemoved);
     }
 
     StoreRow read(const proto::TableRow& from)
     {
-        return { from.key(), from.value(), from.version(), from.is_removed() };
+        return { from.key(), from.value(), StorePosition { from.version() }, from.is_removed() };
+    }
+
+    template <typename Message> std::optional<StoreEra> readEra(const Message& from)
+    {
+        return from.has_era() ? std::optional<StoreEra>(from.era()) : std::nullopt;
+    }
+
+    template <typename Message> void writeEra(std::optional<StoreEra> era, Message& to)
+    {
+        if (era)
+            to.set_era(*era);
     }
 
     template <typename From, typename To> void writeAll(const From& from, To* to)
@@ -428,9 +440,13 @@
             auto& to = *out.mutable_table_pull();
             to.set_sequence(from.sequence);
             to.set_table(from.table);
-            to.set_version(from.version);
+            to.set_version(from.position.version);
+            writeEra(from.position.era, to);
             to.set_wait_us(microseconds(from.wait));
             to.set_wants_all(from.wantsAll);
+            // Left out where it equals that of the position, as in all but the first moments of an era.
+            if (from.newestEra && from.newestEra != from.position.era)
+                to.set_newest_era(*from.newestEra);
         }
 
         void operator()(const TableChanges& from) const
@@ -438,10 +454,12 @@
             auto& to = *out.mutable_table_changes();
             to.set_sequence(from.sequence);
             to.set_is_known(from.isKnown);
-            to.set_version(from.version);
+            to.set_version(from.position.version);
+            writeEra(from.position.era, to);
             to.set_age_us(microseconds(from.age));
             to.set_held_us(microseconds(from.held));
             writeAll(from.rows, to.mutable_rows());
+            to.set_is_whole(from.isWhole);
         }
     };
 
@@ -539,13 +557,18 @@
         }
         case proto::Envelope::kTablePull: {
             const auto& body = from.table_pull();
-            return TablePull { body.sequence(), nonEmptyName(body.table()), body.version(), duration(body.wait_us()),
-                body.wants_all() };
+            const auto era = readEra(body);
+            return TablePull { body.sequence(), nonEmptyName(body.table()), StorePosition { body.version(), era },
+                duration(body.wait_us()), body.wants_all(),
+                body.has_newest_era() ? std::optional<StoreEra>(body.newest_era()) : era };
         }
         case proto::Envelope::kTableChanges: {
             const auto& body = from.table_changes();
-            return TableChanges { body.sequence(), body.is_known(), body.version(), duration(body.age_us()),
-                duration(body.held_us()), readAll<StoreRow>(body.rows()) };
+            TableChanges changes { body.sequence(), body.is_known(), StorePosition { body.version(), readEra(body) },
+                duration(body.age_us()), duration(body.held_us()), readAll<StoreRow>(body.rows()), body.is_whole() };
+            for (auto& row : changes.rows)
+                row.position.era = changes.position.era;
+            return changes;
         }
         case proto::Envelope::BODY_NOT_SET:
             break;
--- a/libs/wire/tests/CodecTest.cpp
+++ b/libs/wire/tests/CodecTest.cpp
@@ -62,9 +62,12 @@
                 { { { BudgetKind::ShiftIn, "zagorje" }, 20, milliseconds { 1000 }, milliseconds { 7 } } } }),
             envelope(ConfigurationPull { 9, 11 }),
             envelope(ConfigurationObject { 9, 12, "{\"version\":12}" }),
-            envelope(TablePull { 3, "servers", 41, milliseconds { 900 }, true }),
-            envelope(TableChanges { 3, true, 44, milliseconds { 20 }, milliseconds { 310 },
-                { { "i-7", std::string("\x00\xff", 2), 43, false }, { "i-8", "", 44, true } } }),
+            envelope(TablePull { 3, "servers", StorePosition { 41, 6 }, milliseconds { 900 }, true, 7 }),
+            envelope(TableChanges { 3, true, StorePosition { 44, 6 }, milliseconds { 20 }, milliseconds { 310 },
+                { { "i-7", std::string("\x00\xff", 2), StorePosition { 43, 6 }, false },
+                    { "i-8", "", StorePosition { 44, 6 }, true } },
+                true }),
+            envelope(TablePull { 4, "servers", StorePosition { 41 }, milliseconds { 900 } }),
         };
     }
 
@@ -74,6 +77,7 @@
     CPPUNIT_TEST_SUITE(CodecTest);
     CPPUNIT_TEST(everyMessageSurvivesTheRoundTrip);
     CPPUNIT_TEST(fieldsSurvive);
+    CPPUNIT_TEST(absentErasStateNothing);
     CPPUNIT_TEST(mutatedInputIsAnErrorOrAMessage);
     CPPUNIT_TEST(outOfRangeValuesAreErrors);
     CPPUNIT_TEST(highRatesAreReadable);
@@ -133,12 +137,21 @@
         CPPUNIT_ASSERT(grant.items.front().refillTime == milliseconds { 7 });
         const auto tablePull = std::get<TablePull>(decode(encode(all[8]))->message);
         CPPUNIT_ASSERT_EQUAL(std::string("servers"), tablePull.table);
-        CPPUNIT_ASSERT(tablePull.version == 41 && tablePull.wait == milliseconds { 900 } && tablePull.wantsAll);
+        CPPUNIT_ASSERT(tablePull.position == StorePosition(41, 6) && tablePull.newestEra == StoreEra { 7 });
+        CPPUNIT_ASSERT(tablePull.wait == milliseconds { 900 } && tablePull.wantsAll);
         const auto changes = std::get<TableChanges>(decode(encode(all[9]))->message);
-        CPPUNIT_ASSERT(changes.isKnown && changes.version == 44);
+        CPPUNIT_ASSERT(changes.isKnown && changes.isWhole && changes.position == StorePosition(44, 6));
         CPPUNIT_ASSERT(changes.age == milliseconds { 20 } && changes.held == milliseconds { 310 });
         CPPUNIT_ASSERT_EQUAL(std::string("\x00\xff", 2), changes.rows.front().value);
-        CPPUNIT_ASSERT(changes.rows.back().isRemoved && changes.rows.back().version == 44);
+        CPPUNIT_ASSERT(changes.rows.back().isRemoved && changes.rows.back().position == StorePosition(44, 6));
+    }
+
+    // An instance of an earlier build sends no era. Read as era 0 it would be compared with those of the store.
+    void absentErasStateNothing()
+    {
+        const auto all = oneOfEach();
+        const auto pull = std::get<TablePull>(decode(encode(all[10]))->message);
+        CPPUNIT_ASSERT(!pull.position.era && !pull.newestEra);
     }
 
     // Garbage on the port must not crash the daemon: flips, cuts and extensions of valid messages.
