--- a/libs/entry/include/entry/InstanceGroup.h
+++ b/libs/entry/include/entry/InstanceGroup.h
@@ -6,6 +6,7 @@
 #include "base/EventLog.h"
 #include "entry/TableRelay.h"
 #include "membership/Membership.h"
+#include "store/StoreEras.h"
 #include "wire/PeerTransport.h"
 
 #include <boost/asio/io_context.hpp>
@@ -23,7 +24,7 @@
 
 /** Settings made by operators, serialized as text for the exchange between instances. */
 struct OperatorState {
-    std::uint64_t version = 0; // Version in the store; 0 before the first state is known.
+    StorePosition position; // In the store.
     std::string text;
 };
 
@@ -31,13 +32,14 @@
 class InstanceGroup {
 public:
     struct Handlers {
-        /** Called with the state that a peer sent, if its version is newer than the state in force here. */
+        /** Called with the state that a peer sent, if it is newer than the state in force here. */
         std::function<void(const OperatorState&)> onOperatorState;
         std::function<void(const std::string& senderAddress, const TablePull&)> onTablePull;
         std::function<void(const TableChanges&)> onTableChanges;
     };
 
-    InstanceGroup(boost::asio::io_context&, const DeploymentId&, const MemberInfo& self, Handlers, EventLog&);
+    InstanceGroup(
+        boost::asio::io_context&, const DeploymentId&, const MemberInfo& self, Handlers, StoreEras&, EventLog&);
     ~InstanceGroup();
     InstanceGroup(const InstanceGroup&) = delete;
     InstanceGroup& operator=(const InstanceGroup&) = delete;
@@ -80,13 +82,16 @@
     std::set<RegionId> regions() const;
     void tick();
     void receive(const Envelope&);
-    void receiveMembership(const Envelope&, const MembershipMessage&);
+    void receiveMembership(const Envelope&, MembershipMessage);
+    /** Returns the position that a peer has stated. It is that of an empty history if it can't be compared. */
+    StorePosition learnPosition(const StorePosition&, const InstanceId& peer);
     void send(std::vector<MembershipSend>);
     void pullOperatorState(TimePoint now);
     void scheduleTick();
 
     boost::asio::io_context& m_context;
     Handlers m_handlers;
+    StoreEras& m_eras;
     EventLog& m_log;
     // Declared before m_transport, whose receive callback copies it.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
@@ -94,7 +99,7 @@
     PeerTransport m_transport;
     boost::asio::steady_timer m_timer;
     OperatorState m_operatorState; // The state in force here.
-    std::optional<TimePoint> m_newerStateKnownSince; // Set while a version newer than the one in force here is known.
+    std::optional<TimePoint> m_newerStateKnownSince; // Set while a state newer than the one in force here is known.
     TimePoint m_nextPull {}; // Earliest time of the next pull of the operator state.
     std::uint64_t m_pullSequence = 0;
     std::size_t m_nextPeer = 0; // Selects the peer of the next pull, in round-robin order.
--- a/libs/entry/src/InstanceGroup.cpp
+++ b/libs/entry/src/InstanceGroup.cpp
@@ -42,9 +42,10 @@
 }
 
 InstanceGroup::InstanceGroup(boost::asio::io_context& context, const DeploymentId& deployment, const MemberInfo& self,
-    Handlers handlers, EventLog& log)
+    Handlers handlers, StoreEras& eras, EventLog& log)
     : m_context(context)
     , m_handlers(std::move(handlers))
+    , m_eras(eras)
     , m_log(log)
     , m_membership(membershipSettings(), self, std::random_device {}(), log)
     , m_transport(transportSettings(deployment, self), log,
@@ -114,21 +115,25 @@
 
         void operator()(const ConfigurationPull& pull) const
         {
+            const auto known = group.learnPosition(StorePosition { pull.haveVersion, pull.era }, envelope.sender);
+            const auto& state = group.m_operatorState;
             ConfigurationObject object;
             object.sequence = pull.sequence;
-            object.version = group.m_operatorState.version;
-            if (group.m_operatorState.version > pull.haveVersion)
-                object.body = group.m_operatorState.text;
+            object.version = state.position.version;
+            object.era = state.position.era;
+            if (state.position > known)
+                object.body = state.text;
             group.m_transport.send(envelope.senderAddress, object);
         }
 
         void operator()(const ConfigurationObject& object) const
         {
-            if (object.body.empty() || object.version <= group.m_operatorState.version)
+            const auto position = group.learnPosition(StorePosition { object.version, object.era }, envelope.sender);
+            if (object.body.empty() || position <= group.m_operatorState.position)
                 return;
             group.m_log.write(LogLevel::Info,
                 LogLine("operator_state_from_peer").add("peer", envelope.sender).add("version", object.version));
-            group.m_handlers.onOperatorState({ object.version, object.body });
+            group.m_handlers.onOperatorState({ position, object.body });
         }
 
         void operator()(const TablePull& pull) const { group.m_handlers.onTablePull(envelope.senderAddress, pull); }
@@ -137,14 +142,21 @@
     std::visit(Visitor { *this, envelope }, envelope.message);
 }
 
-void InstanceGroup::receiveMembership(const Envelope& envelope, const MembershipMessage& message)
+StorePosition InstanceGroup::learnPosition(const StorePosition& position, const InstanceId& peer)
 {
+    m_eras.learn(position.era, peer.value());
+    return m_eras.resolve(position).value_or(StorePosition {});
+}
+
+void InstanceGroup::receiveMembership(const Envelope& envelope, MembershipMessage message)
+{
+    std::visit([&](auto& it) { it.highest = learnPosition(it.highest, envelope.sender); }, message);
     send(m_membership.receive(envelope.sender, envelope.senderAddress, message, steadyNow()));
 }
 
 void InstanceGroup::pullOperatorState(TimePoint now)
 {
-    if (m_membership.highestVersion() <= m_operatorState.version) {
+    if (m_membership.highest() <= m_operatorState.position) {
         m_newerStateKnownSince.reset();
         return;
     }
@@ -158,7 +170,8 @@
     m_nextPull = now + operatorStatePullInterval;
     const auto* peer = m_membership.view().find(peers[m_nextPeer++ % peers.size()]);
     if (peer)
-        m_transport.send(peer->peerAddress, ConfigurationPull { ++m_pullSequence, m_operatorState.version });
+        m_transport.send(peer->peerAddress,
+            ConfigurationPull { ++m_pullSequence, m_operatorState.position.version, m_operatorState.position.era });
 }
 
 void InstanceGroup::setListedInstances(const std::vector<PlatformInstance>& instances)
@@ -180,12 +193,12 @@
 void InstanceGroup::setOperatorState(OperatorState state)
 {
     m_operatorState = std::move(state);
-    m_membership.adopted(m_operatorState.version);
+    m_membership.adopted(m_operatorState.position);
 }
 
 void InstanceGroup::operatorStateConfirmed(TimePoint readStart)
 {
-    m_membership.headRead(m_operatorState.version, readStart, steadyNow());
+    m_membership.headRead(m_operatorState.position.version, readStart, steadyNow());
 }
 
 std::vector<TableReader> InstanceGroup::tableReaders() const
--- a/libs/membership/include/membership/MemberAgent.h
+++ b/libs/membership/include/membership/MemberAgent.h
@@ -48,10 +48,10 @@
         m_reportsSetAt = now;
     }
     void setVersionInForce(ConfigurationVersion version) noexcept { m_inForce = version; }
-    void heard(ConfigurationVersion version) noexcept { m_highest = std::max(m_highest, version); }
+    void heard(const StorePosition& position) noexcept { m_highest = std::max(m_highest, position); }
 
     const MemberInfo& self() const noexcept { return m_self; }
-    ConfigurationVersion highestVersion() const noexcept { return m_highest; }
+    const StorePosition& highest() const noexcept { return m_highest; }
     /** Lowest version in force everywhere, as the relays report it. */
     ConfigurationVersion lowestVersion() const noexcept { return m_lowest; }
     SilentRelays silentRelays() const;
@@ -96,7 +96,7 @@
     std::vector<ServerReport> m_serverReports; // Ages are those at m_reportsSetAt.
     TimePoint m_reportsSetAt;
     ConfigurationVersion m_inForce = 0;
-    ConfigurationVersion m_highest = 0; // Never below m_inForce.
+    StorePosition m_highest;
     ConfigurationVersion m_lowest = 0;
     bool m_saidReachable = false;
     // Rises over all relays: one that is asked again after it left the view must not take heartbeats for repeated ones.
--- a/libs/membership/include/membership/Membership.h
+++ b/libs/membership/include/membership/Membership.h
@@ -48,9 +48,9 @@
     void storeSucceeded(TimePoint now) noexcept { m_contact.succeeded(now); }
     void holdReachable(TimePoint until) noexcept { m_contact.holdReachable(until); }
     /** A version is in force here. */
-    void adopted(ConfigurationVersion);
+    void adopted(const StorePosition&);
     /** A version exists, for example because this instance has just written it. */
-    void heard(ConfigurationVersion);
+    void heard(const StorePosition&);
     void setState(InstanceState state) { m_member.setState(state); }
     void setDetached(bool isDetached) { m_member.setDetached(isDetached); }
     void setLedgerEpoch(std::uint64_t epoch) noexcept { m_member.setLedgerEpoch(epoch); }
@@ -72,7 +72,8 @@
     {
         return m_member.isKnownToPeers(version, now);
     }
-    ConfigurationVersion highestVersion() const noexcept;
+    /** The newest version that this instance has heard of. */
+    StorePosition highest() const noexcept;
     /** In force at every live member, for `--wait`. */
     ConfigurationVersion lowestVersion() const noexcept { return m_member.lowestVersion(); }
     /** The instances that may read the store for the own region, best first: the best relay of each of its domains. */
--- a/libs/membership/include/membership/Messages.h
+++ b/libs/membership/include/membership/Messages.h
@@ -6,6 +6,7 @@
 #include "base/EnumNames.h"
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "store/StorePosition.h"
 
 #include <compare>
 #include <cstdint>
@@ -139,7 +140,7 @@
     // sent, which bounds their age on the relay's clock.
     std::uint64_t replyToken = 0;
     ConfigurationVersion configurationVersion = 0; // In force at the sender.
-    ConfigurationVersion highestVersion = 0; // That the sender has heard of or written.
+    StorePosition highest; // That the sender has heard of or written.
     StoreAttestation store;
     EvidenceStatement evidence; // The sender's own, so that a relay that is no reader learns from its members.
     bool wantsView = false; // Only one of the sender's relays is asked for members and loads.
@@ -154,7 +155,7 @@
     std::uint64_t sequence = 0;
     std::uint64_t token = 0; // The relay's time; opaque to the member.
     EvidenceStatement evidence;
-    ConfigurationVersion highestVersion = 0; // That the relay has heard of.
+    StorePosition highest; // That the relay has heard of.
     ConfigurationVersion witnessedVersion = 0; // Highest version that a relay of another domain has confirmed to know.
     ConfigurationVersion lowestVersion = 0; // In force at every live member of all domains.
     bool isReachabilityWitnessed = false; // Another domain has just confirmed to know that this one reaches the store.
@@ -169,7 +170,7 @@
     RegionId region;
     FailureDomainId failureDomain;
     std::uint64_t sequence = 0;
-    ConfigurationVersion highestVersion = 0;
+    StorePosition highest;
     bool isStoreReachable = false; // By a member of the sender's domain.
     // Of the receiver's domain, which the answer brings up to date, and of the sender's, so that the receiver knows
     // when to pull. For the fellow relay also of domains whose lists have just changed.
@@ -179,7 +180,7 @@
 struct Digest {
     std::uint64_t sequence = 0;
     EvidenceStatement evidence;
-    ConfigurationVersion highestVersion = 0;
+    StorePosition highest;
     bool isPeerReachable = false; // A relay of another domain has just said that its domain reaches the store.
     std::vector<DomainSummary> domains; // The answering relay's own domain.
 };
--- a/libs/membership/include/membership/RelayAgent.h
+++ b/libs/membership/include/membership/RelayAgent.h
@@ -41,8 +41,8 @@
 
     /** Whether this instance is one of the relays of its domain by its own view. */
     bool isActive() const noexcept { return m_activeSince.has_value(); }
-    void heard(ConfigurationVersion version) noexcept { m_highest = std::max(m_highest, version); }
-    ConfigurationVersion highestVersion() const noexcept { return m_highest; }
+    void heard(const StorePosition& position) noexcept { m_highest = std::max(m_highest, position); }
+    const StorePosition& highest() const noexcept { return m_highest; }
 
 private:
     /** The newest heartbeat of a member. Kept for a while after the member was removed: a late one must not revive it.
@@ -147,7 +147,7 @@
     TimePoint m_nextPulls;
     TimePoint m_lastPulls;
     ViewVersion m_toldVersion; // Of the own domain, with the last pulls.
-    ConfigurationVersion m_highest = 0;
+    StorePosition m_highest;
     ConfigurationVersion m_witnessedVersion = 0;
     std::optional<TimePoint> m_reachabilityWitnessed; // Send time of the newest answered pull that said "reachable".
     bool m_wasReachable = false;
--- a/libs/membership/src/MemberAgent.cpp
+++ b/libs/membership/src/MemberAgent.cpp
@@ -88,7 +88,7 @@
     message.sequence = ++m_sequence;
     message.replyToken = relay.token;
     message.configurationVersion = m_inForce;
-    message.highestVersion = m_highest;
+    message.highest = m_highest;
     message.store = m_contact.attestation(now);
     message.evidence = m_evidence.statement(now);
     message.wantsView = wantsView;
@@ -146,7 +146,7 @@
     const auto sent = open->second;
     relay.open.erase(open);
     m_evidence.learn(reply.evidence, sent.time);
-    heard(reply.highestVersion);
+    heard(reply.highest);
     relay.witnessed = std::max(relay.witnessed, reply.witnessedVersion);
     if (sent.saidReachable && reply.isReachabilityWitnessed)
         m_evidence.reachabilityWitnessed(sent.time);
--- a/libs/membership/src/Membership.cpp
+++ b/libs/membership/src/Membership.cpp
@@ -83,8 +83,8 @@
                    [&](const Digest& value) { m_relay.receive(value, now); },
                },
         message);
-    m_member.heard(m_relay.highestVersion());
-    m_relay.heard(m_member.highestVersion());
+    m_member.heard(m_relay.highest());
+    m_relay.heard(m_member.highest());
     return sends;
 }
 
@@ -97,27 +97,27 @@
 {
     m_evidence.confirmed(version, readStart);
     m_contact.succeeded(now);
-    heard(version);
+    heard(StorePosition { version });
 }
 
-void Membership::adopted(ConfigurationVersion version)
+void Membership::adopted(const StorePosition& position)
 {
-    m_evidence.adopted(version);
-    m_member.setVersionInForce(version);
-    heard(version);
+    m_evidence.adopted(position.version);
+    m_member.setVersionInForce(position.version);
+    heard(position);
 }
 
-void Membership::heard(ConfigurationVersion version)
+void Membership::heard(const StorePosition& position)
 {
-    if (version > m_member.highestVersion())
+    if (position > m_member.highest())
         m_member.hurry(); // The relays are to know it, above all if this instance has written it.
-    m_member.heard(version);
-    m_relay.heard(version);
+    m_member.heard(position);
+    m_relay.heard(position);
 }
 
-ConfigurationVersion Membership::highestVersion() const noexcept
+StorePosition Membership::highest() const noexcept
 {
-    return std::max({ m_member.highestVersion(), m_relay.highestVersion(), m_evidence.version() });
+    return std::max({ m_member.highest(), m_relay.highest(), StorePosition { m_evidence.version() } });
 }
 
 std::vector<InstanceId> Membership::readers() const
--- a/libs/membership/src/RelayAgent.cpp
+++ b/libs/membership/src/RelayAgent.cpp
@@ -275,7 +275,7 @@
     message.region = m_self.region;
     message.failureDomain = m_self.failureDomain;
     message.sequence = m_nextSequence++;
-    message.highestVersion = m_highest;
+    message.highest = m_highest;
     message.isStoreReachable = isOwnDomainReachable();
     if (id != m_self.failureDomain)
         message.known.push_back(m_view.known(id));
@@ -287,7 +287,8 @@
         m_tellFellow.clear();
     }
     m_peers[id].lastPull = now;
-    m_open.emplace(message.sequence, OpenPull { id, now, m_highest, message.isStoreReachable, target.id, isProbe });
+    m_open.emplace(
+        message.sequence, OpenPull { id, now, m_highest.version, message.isStoreReachable, target.id, isProbe });
     sends.push_back({ target.id, target.peerAddress, std::move(message) });
 }
 
@@ -299,7 +300,7 @@
         recordHeartbeat(message, now);
     if (m_view.domains().size() == 1) {
         // No other domain could hold a version or see a writer that this relay does not.
-        m_witnessedVersion = m_highest;
+        m_witnessedVersion = m_highest.version;
         if (isOwnDomainReachable())
             m_reachabilityWitnessed = now;
     }
@@ -307,7 +308,7 @@
     reply.sequence = message.sequence;
     reply.token = static_cast<std::uint64_t>(now.time_since_epoch().count());
     reply.evidence = m_evidence.statement(now);
-    reply.highestVersion = m_highest;
+    reply.highest = m_highest;
     reply.witnessedVersion = m_witnessedVersion;
     reply.lowestVersion = m_view.lowestVersion();
     reply.isReachabilityWitnessed
@@ -338,8 +339,8 @@
         if (message.evidence.kind == EvidenceKind::Confirmed)
             m_evidence.learn(message.evidence, tokenTime);
     }
-    if (message.highestVersion > m_highest) {
-        m_highest = message.highestVersion;
+    if (message.highest > m_highest) {
+        m_highest = message.highest;
         hurry(now); // A writer may be waiting until other domains know its version.
     }
     if (m_activeSince) {
@@ -397,7 +398,7 @@
 
 Digest RelayAgent::receive(const DigestPull& message, const std::string& address, TimePoint now)
 {
-    m_highest = std::max(m_highest, message.highestVersion);
+    heard(message.highest);
     const bool isFellow = message.failureDomain == m_self.failureDomain;
     if (message.isStoreReachable && !isFellow)
         m_heardReachable[message.sender] = now;
@@ -435,7 +436,7 @@
     Digest digest;
     digest.sequence = message.sequence;
     digest.evidence = m_evidence.statement(now);
-    digest.highestVersion = m_highest;
+    digest.highest = m_highest;
     digest.isPeerReachable = isPeerReachable(now);
     digest.domains.push_back(std::move(summary));
     return digest;
@@ -493,7 +494,7 @@
     const auto pull = open->second;
     m_open.erase(open);
     m_evidence.learn(message.evidence, pull.sent);
-    m_highest = std::max(m_highest, message.highestVersion);
+    heard(message.highest);
     const bool isFellow = pull.domain == m_self.failureDomain;
     if (isFellow)
         answered(pull.target, now);
@@ -616,7 +617,7 @@
 {
     const auto asOf = storeUnavailableAsOf(now);
     if (asOf)
-        m_evidence.storeUnavailable(m_highest, *asOf);
+        m_evidence.storeUnavailable(m_highest.version, *asOf);
     if (asOf.has_value() == m_isStoreUnavailable)
         return;
     m_isStoreUnavailable = asOf.has_value();
--- a/libs/membership/tests/Fleet.cpp
+++ b/libs/membership/tests/Fleet.cpp
@@ -424,7 +424,7 @@
 void Fleet::fetchNewer(std::size_t index)
 {
     auto& instance = m_instances[index];
-    if (instance.membership->highestVersion() <= instance.inForce || m_now < instance.nextFetch)
+    if (instance.membership->highest().version <= instance.inForce || m_now < instance.nextFetch)
         return;
     instance.nextFetch = m_now + std::chrono::milliseconds { 200 };
     const auto peers = instance.membership->configurationPeers();
@@ -438,7 +438,7 @@
 {
     auto& instance = m_instances[index];
     instance.inForce = std::max(instance.inForce, version);
-    instance.membership->adopted(instance.inForce);
+    instance.membership->adopted(StorePosition { instance.inForce });
 }
 
 std::vector<std::size_t> Fleet::live() const
--- a/libs/membership/tests/RelayAgentTest.cpp
+++ b/libs/membership/tests/RelayAgentTest.cpp
@@ -69,7 +69,7 @@
         {
             Digest digest;
             digest.sequence = pull.sequence;
-            digest.highestVersion = 5;
+            digest.highest = StorePosition { 5 };
             DomainSummary summary;
             summary.failureDomain = FailureDomainId(domain);
             summary.region = RegionId("r");
--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -323,6 +323,21 @@
             to.set_era(*era);
     }
 
+    template <typename Message> void writeHighest(const StorePosition& from, Message& to)
+    {
+        to.set_highest_version(from.version);
+        if (from.era)
+            to.set_highest_era(*from.era);
+    }
+
+    template <typename Message> StorePosition readHighest(const Message& from)
+    {
+        StorePosition to { from.highest_version() };
+        if (from.has_highest_era())
+            to.era = from.highest_era();
+        return to;
+    }
+
     template <typename From, typename To> void writeAll(const From& from, To* to)
     {
         for (const auto& item : from)
@@ -351,7 +366,7 @@
             to.set_sequence(from.sequence);
             to.set_reply_token(from.replyToken);
             to.set_configuration_version(from.configurationVersion);
-            to.set_highest_version(from.highestVersion);
+            writeHighest(from.highest, to);
             write(from.store, *to.mutable_store());
             write(from.evidence, *to.mutable_evidence());
             to.set_wants_view(from.wantsView);
@@ -368,7 +383,7 @@
             to.set_sequence(from.sequence);
             to.set_token(from.token);
             write(from.evidence, *to.mutable_evidence());
-            to.set_highest_version(from.highestVersion);
+            writeHighest(from.highest, to);
             to.set_witnessed_version(from.witnessedVersion);
             to.set_lowest_version(from.lowestVersion);
             to.set_is_reachability_witnessed(from.isReachabilityWitnessed);
@@ -384,7 +399,7 @@
             to.set_region(from.region.value());
             to.set_failure_domain(from.failureDomain.value());
             to.set_sequence(from.sequence);
-            to.set_highest_version(from.highestVersion);
+            writeHighest(from.highest, to);
             to.set_is_store_reachable(from.isStoreReachable);
             writeAll(from.known, to.mutable_known());
         }
@@ -394,7 +409,7 @@
             auto& to = *out.mutable_digest();
             to.set_sequence(from.sequence);
             write(from.evidence, *to.mutable_evidence());
-            to.set_highest_version(from.highestVersion);
+            writeHighest(from.highest, to);
             to.set_is_peer_reachable(from.isPeerReachable);
             writeAll(from.domains, to.mutable_domains());
         }
@@ -425,6 +440,7 @@
             auto& to = *out.mutable_configuration_pull();
             to.set_sequence(from.sequence);
             to.set_have_version(from.haveVersion);
+            writeEra(from.era, to);
         }
 
         void operator()(const ConfigurationObject& from) const
@@ -433,6 +449,7 @@
             to.set_sequence(from.sequence);
             to.set_version(from.version);
             to.set_body(from.body);
+            writeEra(from.era, to);
         }
 
         void operator()(const TablePull& from) const
@@ -470,7 +487,7 @@
         to.sequence = from.sequence();
         to.replyToken = from.reply_token();
         to.configurationVersion = from.configuration_version();
-        to.highestVersion = from.highest_version();
+        to.highest = readHighest(from);
         to.store = read(from.store());
         to.evidence = read(from.evidence());
         to.wantsView = from.wants_view();
@@ -488,7 +505,7 @@
         to.sequence = from.sequence();
         to.token = from.token();
         to.evidence = read(from.evidence());
-        to.highestVersion = from.highest_version();
+        to.highest = readHighest(from);
         to.witnessedVersion = from.witnessed_version();
         to.lowestVersion = from.lowest_version();
         to.isReachabilityWitnessed = from.is_reachability_witnessed();
@@ -502,7 +519,7 @@
         Digest to;
         to.sequence = from.sequence();
         to.evidence = read(from.evidence());
-        to.highestVersion = from.highest_version();
+        to.highest = readHighest(from);
         to.isPeerReachable = from.is_peer_reachable();
         to.domains = readAll<DomainSummary>(from.domains());
         return to;
@@ -515,7 +532,7 @@
         to.region = RegionId { nonEmptyName(from.region()) };
         to.failureDomain = FailureDomainId { nonEmptyName(from.failure_domain()) };
         to.sequence = from.sequence();
-        to.highestVersion = from.highest_version();
+        to.highest = readHighest(from);
         to.isStoreReachable = from.is_store_reachable();
         to.known = readAll<KnownView>(from.known());
         return to;
@@ -550,10 +567,11 @@
                 body.sequence(), readAll<BudgetGrantItem>(body.items()) };
         }
         case proto::Envelope::kConfigurationPull:
-            return ConfigurationPull { from.configuration_pull().sequence(), from.configuration_pull().have_version() };
+            return ConfigurationPull { from.configuration_pull().sequence(), from.configuration_pull().have_version(),
+                readEra(from.configuration_pull()) };
         case proto::Envelope::kConfigurationObject: {
             const auto& body = from.configuration_object();
-            return ConfigurationObject { body.sequence(), body.version(), body.body() };
+            return ConfigurationObject { body.sequence(), body.version(), body.body(), readEra(body) };
         }
         case proto::Envelope::kTablePull: {
             const auto& body = from.table_pull();
--- a/libs/wire/tests/CodecTest.cpp
+++ b/libs/wire/tests/CodecTest.cpp
@@ -49,19 +49,20 @@
         const EvidenceStatement evidence { EvidenceKind::StoreUnavailable, 4, milliseconds { 900 } };
         const std::vector<KnownView> known { { FailureDomainId { "jadran-b" }, { 12, false } } };
         return {
-            envelope(Heartbeat { member("one"), 5, 6, 12, 13, { true, milliseconds { 1 } }, evidence, true, 99, known,
-                { { ServiceId { "salonik" }, 8, 3, 1, 2.5 } }, { { WorkspaceId { "kavana" }, 4.5 } },
+            envelope(Heartbeat { member("one"), 5, 6, 12, StorePosition { 13, 2 }, { true, milliseconds { 1 } },
+                evidence, true, 99, known, { { ServiceId { "salonik" }, 8, 3, 1, 2.5 } },
+                { { WorkspaceId { "kavana" }, 4.5 } },
                 { { BackendServerId { "i-1" }, 1'770'000'000'000, 2.7, milliseconds { 40 } } } }),
-            envelope(HeartbeatReply { 5, 6, evidence, 13, 12, 11, true, 98, { summary() } }),
-            envelope(DigestPull {
-                InstanceId { "one" }, RegionId { "jadran" }, FailureDomainId { "jadran-a" }, 6, 14, true, known }),
-            envelope(Digest { 6, evidence, 14, true, { summary() } }),
+            envelope(HeartbeatReply { 5, 6, evidence, StorePosition { 13 }, 12, 11, true, 98, { summary() } }),
+            envelope(DigestPull { InstanceId { "one" }, RegionId { "jadran" }, FailureDomainId { "jadran-a" }, 6,
+                StorePosition { 14, 0 }, true, known }),
+            envelope(Digest { 6, evidence, StorePosition { 14, 3 }, true, { summary() } }),
             envelope(BudgetDemand {
                 InstanceId { "one" }, 77, 8, { { { BudgetKind::Link, "jadran>zagorje" }, 1, 2, 3, 4, 5 } } }),
             envelope(BudgetGrant { RegionId { "jadran" }, 4, 77, 8,
                 { { { BudgetKind::ShiftIn, "zagorje" }, 20, milliseconds { 1000 }, milliseconds { 7 } } } }),
-            envelope(ConfigurationPull { 9, 11 }),
-            envelope(ConfigurationObject { 9, 12, "{\"version\":12}" }),
+            envelope(ConfigurationPull { 9, 11, 3 }),
+            envelope(ConfigurationObject { 9, 12, "{\"version\":12}", 4 }),
             envelope(TablePull { 3, "servers", StorePosition { 41, 6 }, milliseconds { 900 }, true, 7 }),
             envelope(TableChanges { 3, true, StorePosition { 44, 6 }, milliseconds { 20 }, milliseconds { 310 },
                 { { "i-7", std::string("\x00\xff", 2), StorePosition { 43, 6 }, false },
@@ -104,7 +105,7 @@
         const auto heartbeat = std::get<Heartbeat>(decode(encode(all[0]))->message);
         CPPUNIT_ASSERT(heartbeat.sender == member("one"));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 12 }, heartbeat.configurationVersion);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 13 }, heartbeat.highestVersion);
+        CPPUNIT_ASSERT(heartbeat.highest == StorePosition(13, 2));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 6 }, heartbeat.replyToken);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 99 }, heartbeat.viewHash);
         CPPUNIT_ASSERT(heartbeat.wantsView);
@@ -114,12 +115,12 @@
         CPPUNIT_ASSERT(heartbeat.serverReports.front()
             == (ServerReport { BackendServerId { "i-1" }, 1'770'000'000'000, 2.7, milliseconds { 40 } }));
         const auto reply = std::get<HeartbeatReply>(decode(encode(all[1]))->message);
-        CPPUNIT_ASSERT(reply.token == 6 && reply.highestVersion == 13 && reply.witnessedVersion == 12);
+        CPPUNIT_ASSERT(reply.token == 6 && reply.highest == StorePosition(13) && reply.witnessedVersion == 12);
         CPPUNIT_ASSERT(reply.lowestVersion == 11 && reply.isReachabilityWitnessed && reply.viewHash == 98);
         const auto pull = std::get<DigestPull>(decode(encode(all[2]))->message);
-        CPPUNIT_ASSERT(pull.highestVersion == 14 && pull.isStoreReachable && !pull.failureDomain.isEmpty());
+        CPPUNIT_ASSERT(pull.highest == StorePosition(14, 0) && pull.isStoreReachable && !pull.failureDomain.isEmpty());
         const auto digest = std::get<Digest>(decode(encode(all[3]))->message);
-        CPPUNIT_ASSERT(digest.highestVersion == 14 && digest.isPeerReachable);
+        CPPUNIT_ASSERT(digest.highest == StorePosition(14, 3) && digest.isPeerReachable);
         const auto& domain = digest.domains.front();
         CPPUNIT_ASSERT(domain.members == summary().members);
         CPPUNIT_ASSERT(domain.removed == summary().removed);
@@ -144,14 +145,18 @@
         CPPUNIT_ASSERT(changes.age == milliseconds { 20 } && changes.held == milliseconds { 310 });
         CPPUNIT_ASSERT_EQUAL(std::string("\x00\xff", 2), changes.rows.front().value);
         CPPUNIT_ASSERT(changes.rows.back().isRemoved && changes.rows.back().position == StorePosition(44, 6));
+        CPPUNIT_ASSERT(std::get<ConfigurationPull>(decode(encode(all[6]))->message).era == StoreEra { 3 });
+        CPPUNIT_ASSERT(std::get<ConfigurationObject>(decode(encode(all[7]))->message).era == StoreEra { 4 });
     }
 
     // An instance of an earlier build sends no era. Read as era 0 it would be compared with those of the store.
     void absentErasStateNothing()
     {
         const auto all = oneOfEach();
+        CPPUNIT_ASSERT(!std::get<HeartbeatReply>(decode(encode(all[1]))->message).highest.era);
         const auto pull = std::get<TablePull>(decode(encode(all[10]))->message);
         CPPUNIT_ASSERT(!pull.position.era && !pull.newestEra);
+        CPPUNIT_ASSERT(std::get<DigestPull>(decode(encode(all[2]))->message).highest.era == StoreEra { 0 });
     }
 
     // Garbage on the port must not crash the daemon: flips, cuts and extensions of valid messages.
--- a/peridot/src/ControlPlane.cpp
+++ b/peridot/src/ControlPlane.cpp
@@ -103,7 +103,7 @@
 {
     Actions actions;
     send(m_membership.tick(now), actions);
-    m_reader.heard(m_membership.highestVersion());
+    m_reader.heard(m_membership.highest().version);
     // Ranking the peers costs more than the rest of a tick, and they are needed only while a version is missing.
     const bool needsPeers = m_reader.highestHeard() > m_reader.version();
     const auto peers = needsPeers ? m_membership.configurationPeers() : std::vector<InstanceId> {};
@@ -241,8 +241,8 @@
         auto waiting = m_answerTo.extract(outcome.id);
         actions.emplace_back(AnswerOperator { waiting.empty() ? outcome.id : waiting.mapped(), status, body.dump() });
     }
-    if (m_writer.highestVersion() > m_membership.highestVersion())
-        m_membership.heard(m_writer.highestVersion());
+    if (m_writer.highestVersion() > m_membership.highest().version)
+        m_membership.heard(StorePosition { m_writer.highestVersion() });
     if (m_writer.newest() && m_reader.adopt(m_writer.newest()))
         adoptConfiguration(now, actions);
 }
@@ -262,7 +262,7 @@
                 actions.emplace_back(CloseCallers { id });
         }
     }
-    m_membership.adopted(configuration->version());
+    m_membership.adopted(StorePosition { configuration->version() });
     m_ledger.setConfiguration(*configuration, now);
     std::erase_if(m_routers, [&](const auto& it) { return !configuration->hasService(it.first); });
     for (const auto& service : configuration->data().services) {
--- a/peridot/src/OperatorEndpoint.cpp
+++ b/peridot/src/OperatorEndpoint.cpp
@@ -120,7 +120,7 @@
         { "is_relay", membership.isRelay() },
         { "versions",
             { { "own", view->configuration ? view->configuration->version() : 0 },
-                { "highest", membership.highestVersion() }, { "lowest", membership.lowestVersion() } } } };
+                { "highest", membership.highest().version }, { "lowest", membership.lowestVersion() } } } };
     if (const auto time = membership.evidence().time())
         body["evidence_age_ms"] = toMilliseconds(now - *time);
     auto instances = nlohmann::json::array();
--- a/tools/peridot-trial/src/Mutator.cpp
+++ b/tools/peridot-trial/src/Mutator.cpp
@@ -39,20 +39,20 @@
     const auto hide = [shown](ConfigurationVersion& version) { version = std::min(version, shown); };
     if (auto* heartbeat = std::get_if<Heartbeat>(&message)) {
         hide(heartbeat->configurationVersion);
-        hide(heartbeat->highestVersion);
+        hide(heartbeat->highest.version);
         hide(heartbeat->evidence.version);
     } else if (auto* reply = std::get_if<HeartbeatReply>(&message)) {
-        hide(reply->highestVersion);
+        hide(reply->highest.version);
         hide(reply->witnessedVersion);
         hide(reply->lowestVersion);
         for (DomainSummary& it : reply->domains)
             hide(it.lowestVersion);
         hide(reply->evidence.version);
     } else if (auto* digest = std::get_if<Digest>(&message)) {
-        hide(digest->highestVersion);
+        hide(digest->highest.version);
         hide(digest->evidence.version);
     } else if (auto* pull = std::get_if<DigestPull>(&message)) {
-        hide(pull->highestVersion);
+        hide(pull->highest.version);
     } else if (auto* object = std::get_if<ConfigurationObject>(&message); object && object->version > shown) {
         object->version = shown;
         object->body.clear();
