steering: a leaving instance begins no work that it can't see through

Another operator's report: in a planned stop, requests that came late in the grace were taken, passed on and cut at its end, among them ones that may not be repeated.

Cause here: a leaving instance reserves the expected work before its end, 2.5 s at most, because the expectation may rest on no response yet. Kinds of work that take up to 3.84 s were begun 2.6 s after the signal, and ended with an answer that they may have run.

Change: the longest of the measured responses, decaying, is reserved whatever it is; the bound stays for expectations. What would take too long is rejected at once as not run, so that the caller goes elsewhere.

Test: TrafficSteeringTest::workThatTakesTooLongIsNotBegunByALeavingInstance fails before (the request is sent), passes now; steering-tests 98 pass.

--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -31,8 +31,8 @@
     // For this long after an instance could not take a request, others are preferred. Its heartbeats tell by then.
     constexpr Duration unableMemory = std::chrono::seconds { 1 };
     constexpr unsigned maximumSends = 4; // Sends of one request, including those that servers refuse.
-    // Before this instance ends, requests on routes whose work is expected to take longer are sent all the same: the
-    // expectation may rest on no response yet.
+    // Before this instance ends, requests on routes whose work is expected to take longer are sent all the same unless
+    // a response has taken as long: the expectation may rest on none yet.
     constexpr Duration maximumEndReserve = std::chrono::milliseconds { 2'500 };
     constexpr Duration startingRetryAfter = std::chrono::milliseconds { 300 };
     constexpr Duration noServerRetryAfter = std::chrono::milliseconds { 500 };
@@ -79,6 +79,7 @@
     double cold = 0;
     double warm = 0;
     double mean = 0; // Of all successful sends, warm and cold.
+    double longest = 0; // Decaying maximum of the same; 0 before the first response.
     double responseBytes = 0; // Mean size of the bodies of successful responses.
 
     explicit WorkTimes(Duration target)
@@ -661,8 +662,10 @@
 {
     if (!m_end)
         return false;
-    const Duration work { static_cast<Duration::rep>(workTimes(request.route()).cold) };
-    return now + wait + std::min(work, maximumEndReserve) > *m_end;
+    const auto times = workTimes(request.route());
+    const Duration expected { static_cast<Duration::rep>(times.cold) };
+    const Duration measured { static_cast<Duration::rep>(times.longest) };
+    return now + wait + std::max(std::min(expected, maximumEndReserve), measured) > *m_end;
 }
 
 bool TrafficSteering::isLate(const Request& request, TimePoint now) { return now > request.latestStart(); }
@@ -957,6 +960,8 @@
     value += workSmoothing * (static_cast<double>(std::max(latency, Duration { 1'000 }).count()) - value);
     times.warm = std::min(times.warm, times.cold);
     times.responseBytes += workSmoothing * (static_cast<double>(responseBytes) - times.responseBytes);
+    times.longest = std::max(static_cast<double>(latency.count()),
+        times.longest + workSmoothing * (static_cast<double>(latency.count()) - times.longest));
     times.mean += workSmoothing * (static_cast<double>(latency.count()) - times.mean);
 }
 
--- a/libs/steering/tests/TrafficSteeringTest.cpp
+++ b/libs/steering/tests/TrafficSteeringTest.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(queuedRequestsAreRejectedBeforeTheInstanceEnds);
     CPPUNIT_TEST(requestThatWouldWaitBeyondTheEndIsRejectedAtOnce);
     CPPUNIT_TEST(unmeasuredRouteIsServedByALeavingInstance);
+    CPPUNIT_TEST(workThatTakesTooLongIsNotBegunByALeavingInstance);
     CPPUNIT_TEST(runningRequestsAreAnsweredBeforeTheInstanceEnds);
     CPPUNIT_TEST(failedSendIsNotRepeatedTooLateForTheInstance);
     CPPUNIT_TEST(callerDisconnectCancelsTheRunningSend);
@@ -288,6 +289,30 @@
         CPPUNIT_ASSERT(only<SendToServer>(steering.begin(1, request("/lookup/x"), start + 2900ms)));
     }
 
+    /** Work that took longer than the time that was reserved for it was begun all the same, and broken off at the end
+     *  with an answer that the request may have run. */
+    void workThatTakesTooLongIsNotBegunByALeavingInstance()
+    {
+        auto configuration = data();
+        for (auto& route : configuration.routes)
+            route.timeout = 10s;
+        TrafficSteering steering(options(), 1, m_log);
+        steering.setRoutes(*RouteTable::create(configuration));
+        steering.setServers(servers(1, 4), start);
+        const auto booking = [] {
+            auto it = request("/book/x");
+            it.remainingTime = 10s;
+            return it;
+        };
+        steering.begin(1, booking(), start);
+        steering.finished(1, report(DispatchResult::Succeeded), start + 3'840ms);
+        steering.setEnd(start + 4s + 5'500ms);
+        CPPUNIT_ASSERT(only<SendToServer>(steering.begin(2, booking(), start + 4s + 1'500ms)));
+        const auto actions = steering.begin(3, booking(), start + 4s + 2'600ms);
+        const auto* reject = only<RejectRequest>(actions);
+        CPPUNIT_ASSERT(reject && reject->reason == RejectReason::Leaving);
+    }
+
     /** The callers of requests that run when the process ends got no answer. */
     void runningRequestsAreAnsweredBeforeTheInstanceEnds()
     {
