entry: deliver responses that a late process finds at its end

Callers of a process that ran late at its end were told that their requests had timed out, although the responses waited in its sockets.

Cause: endRequests() ended everything that was open without the look into the sockets that the periodic check takes (mayHaveResponse).

Change: it takes the same path; open requests with a response that has arrived are answered with it in the next turns, and GracefulStop waits for them as for all open requests.

Test: GracefulStopTest::responseThatHasArrivedIsDeliveredByALateProcess fails before, passes now.

--- a/libs/entry/include/entry/RequestGateway.h
+++ b/libs/entry/include/entry/RequestGateway.h
@@ -35,7 +35,7 @@
     /** Rejects the requests that come from then on with RejectReason::Leaving, because the instance will stop before it
      *  could answer them. */
     void rejectNewRequestsFrom(TimePoint time) noexcept { m_rejectsFrom = time; }
-    /** Answers all open requests at once. */
+    /** Answers all open requests, those to which a response has arrived within the next turns of the io_context. */
     void endRequests();
     std::size_t openRequests() const noexcept { return m_requests.size(); }
     /** How late the periodic check of the gateway ran: the time for which due work waits for the process. */
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -103,9 +103,8 @@
 
 void RequestGateway::endRequests()
 {
-    const auto now = steadyNow();
-    m_steering.setEnd(now);
-    perform(m_steering.tick(now));
+    m_steering.setEnd(steadyNow());
+    tick();
 }
 
 /** Asks anew in the next turn about the overdue requests that were spared. */
--- a/libs/entry/tests/GracefulStopTest.cpp
+++ b/libs/entry/tests/GracefulStopTest.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(endsOnceNothingHappens);
     CPPUNIT_TEST(serverThatStaysSilentDoesNotOutliveTheInstance);
     CPPUNIT_TEST(allRequestsOfAConnectionAreAnsweredByALateProcess);
+    CPPUNIT_TEST(responseThatHasArrivedIsDeliveredByALateProcess);
     CPPUNIT_TEST(requestThatHasArrivedIsAnsweredByALateProcess);
     CPPUNIT_TEST(requestThatWaitsToBeAcceptedIsAnsweredByALateProcess);
     CPPUNIT_TEST_SUITE_END();
@@ -105,6 +106,17 @@
             instance.received, instance.received.find("timed_out", behindFirst) != std::string::npos);
     }
 
+    /** A late process came to its end before it had read a response that waited in a socket, and answered that the
+     *  request had timed out. */
+    void responseThatHasArrivedIsDeliveredByALateProcess()
+    {
+        LeavingInstance instance;
+        instance.run("/1");
+        instance.stop.begin(400ms);
+        instance.stall([&] { instance.answer("whole"); });
+        CPPUNIT_ASSERT_MESSAGE(instance.received, instance.receives("whole"));
+    }
+
     /** A late process closed connections with a request that waited in the socket. */
     void requestThatHasArrivedIsAnsweredByALateProcess()
     {
