entry: count the grace from when the signal can have come

Suspected for the other operator's report (requests cut with no answer at the end of the grace): an instance that got no processor time noticed its SIGTERM late, counted the grace from then, and was killed before it answered what was open.

Change: the signal may have waited since the event loop ran last, which the gateway knows to 20 ms, so the grace counts from there. The line "leaving" tells the difference (signal_wait_ms).

--- a/libs/entry/include/entry/GracefulStop.h
+++ b/libs/entry/include/entry/GracefulStop.h
@@ -27,7 +27,8 @@
     GracefulStop(boost::asio::io_context&, TrafficSteering&, RequestGateway&, HttpServer& callers, HttpServer& lookups,
         Duration lookupTime, EventLog&, EndHandler onEnd);
 
-    /** The platform kills the process @p grace from now. Nothing else ends it while an answer is still written. */
+    /** The platform kills the process @p grace after its signal, which may have waited since the event loop ran last.
+     *  Nothing else ends it while an answer is still written. */
     void begin(Duration grace);
     bool hasBegun() const noexcept { return m_begun.has_value(); }
 
--- a/libs/entry/include/entry/RequestGateway.h
+++ b/libs/entry/include/entry/RequestGateway.h
@@ -37,6 +37,8 @@
     void rejectNewRequestsFrom(TimePoint time) noexcept { m_rejectsFrom = time; }
     /** Answers all open requests, those to which a response has arrived within the next turns of the io_context. */
     void endRequests();
+    /** The last time at which the event loop is known to have run. What it finds now may have waited since then. */
+    TimePoint lastRun() const noexcept { return m_lastRun; }
     std::size_t openRequests() const noexcept { return m_requests.size(); }
     /** How late the periodic check of the gateway ran: the time for which due work waits for the process. */
     const LatencyHistogram& loopDelays() const noexcept { return m_loopDelays; }
@@ -91,6 +93,7 @@
     std::unordered_map<RequestHandle, OpenRequest> m_requests;
     RequestHandle m_lastHandle = 0;
     LatencyHistogram m_loopDelays;
+    TimePoint m_lastRun;
     std::optional<TimePoint> m_rejectsFrom; // See rejectNewRequestsFrom().
     bool m_hasSparedRequests = false; // Some requests are overdue, but may have a response.
     bool m_isEndOverdueDue = false; // endOverdue() runs in the next turn of the io_context.
--- a/libs/entry/src/GracefulStop.cpp
+++ b/libs/entry/src/GracefulStop.cpp
@@ -40,11 +40,15 @@
 
 void GracefulStop::begin(Duration grace)
 {
-    const auto now = steadyNow();
-    m_begun = now;
-    m_killTime = now + grace;
-    m_log.write(LogLevel::Info, LogLine("leaving").add("open_requests", m_gateway.openRequests()));
-    m_gateway.rejectNewRequestsFrom(now + std::min(grace / 2, newRequestTime));
+    // A process that got no time may find the signal long after it came.
+    const auto signalled = m_gateway.lastRun();
+    m_begun = signalled;
+    m_killTime = signalled + grace;
+    m_log.write(LogLevel::Info,
+        LogLine("leaving")
+            .add("open_requests", m_gateway.openRequests())
+            .add("signal_wait_ms", steadyNow() - signalled));
+    m_gateway.rejectNewRequestsFrom(signalled + std::min(grace / 2, newRequestTime));
     m_steering.setEnd(m_killTime - std::min(grace / 4, answerMargin));
     scheduleStep();
 }
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -68,6 +68,7 @@
     , m_peers(peers)
     , m_log(log)
     , m_tickTimer(context)
+    , m_lastRun(steadyNow())
 {
     scheduleTick();
 }
@@ -88,6 +89,7 @@
     m_tickTimer.async_wait([this](const boost::system::error_code& ec) {
         if (ec)
             return;
+        m_lastRun = steadyNow();
         noteLoopDelay(
             std::chrono::duration_cast<Duration>(asio::steady_timer::clock_type::now() - m_tickTimer.expiry()));
         tick();
--- a/libs/entry/tests/GracefulStopTest.cpp
+++ b/libs/entry/tests/GracefulStopTest.cpp
@@ -43,6 +43,14 @@
         CPPUNIT_ASSERT(ends());
     }
 
+    /** Gives the caller a new connection. */
+    void connectCaller()
+    {
+        callerSocket = boost::asio::ip::tcp::socket(context);
+        callerSocket.connect({ processLoopback(), callerServer.port() });
+        callerSocket.non_blocking(true);
+    }
+
     bool ends()
     {
         return runUntil([this] { return hasEnded; });
@@ -63,6 +71,8 @@
     CPPUNIT_TEST(responseThatHasArrivedIsDeliveredByALateProcess);
     CPPUNIT_TEST(requestThatHasArrivedIsAnsweredByALateProcess);
     CPPUNIT_TEST(requestThatWaitsToBeAcceptedIsAnsweredByALateProcess);
+    CPPUNIT_TEST(requestLateInTheGraceIsRejectedAtOnce);
+    CPPUNIT_TEST(signalThatIsNoticedLateLeavesTimeForTheAnswers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -135,14 +145,38 @@
         LeavingInstance instance;
         instance.run("/1");
         instance.stop.begin(400ms);
-        instance.callerSocket = boost::asio::ip::tcp::socket(instance.context);
-        instance.callerSocket.connect({ processLoopback(), instance.callerServer.port() });
-        instance.callerSocket.non_blocking(true);
+        instance.connectCaller();
         instance.send("/2");
         std::this_thread::sleep_for(500ms);
         CPPUNIT_ASSERT_MESSAGE(instance.received, instance.receives("leaving"));
         CPPUNIT_ASSERT(instance.ends());
     }
+
+    /** Requests that came late in the grace would be passed on and be cut at its end. */
+    void requestLateInTheGraceIsRejectedAtOnce()
+    {
+        LeavingInstance instance;
+        instance.run("/1");
+        instance.stop.begin(2s);
+        instance.runUntil([] { return false; }, 1'020ms);
+        instance.connectCaller();
+        instance.send("/2", "a seat", "POST");
+        CPPUNIT_ASSERT(
+            instance.runUntil([&] { return instance.received.find("leaving") != std::string::npos; }, 200ms));
+    }
+
+    /** A process that got no time when the signal came counted its grace from when it noticed the signal, and was
+     * killed before it answered its open requests. */
+    void signalThatIsNoticedLateLeavesTimeForTheAnswers()
+    {
+        LeavingInstance instance;
+        instance.run("/1");
+        const auto signalled = std::chrono::steady_clock::now();
+        std::this_thread::sleep_for(400ms);
+        instance.stop.begin(700ms);
+        CPPUNIT_ASSERT(instance.receives("timed_out"));
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - signalled < 700ms);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GracefulStopTest);
