http, entry: answer requests that have arrived in part when the process ends

An instance that ended closed the connections of requests whose bodies were still coming, without an answer.

Cause: a connection counted as settled if it had no whole request, and the end closes settled connections.

Change: at its end the instance answers such requests 503 with Retry-After 0, behind the answers that are due before them.

Test: requestWhoseBodyIsStillComingIsAnswered fails before, passes now; beside it unfinishedRequestBehindAnotherOneIsAnswered. entry-tests 88, http-tests 37.

--- a/libs/entry/src/GracefulStop.cpp
+++ b/libs/entry/src/GracefulStop.cpp
@@ -98,6 +98,7 @@
         m_requestsAtEnd = m_gateway.openRequests();
     // A late process may come here before the periodic check that ends the requests.
     m_gateway.endRequests();
+    m_callers.rejectUnfinishedRequests();
     if (m_gateway.openRequests() > 0 || !m_callers.isSettled() || !m_lookups.isSettled()) {
         scheduleStep();
         return;
--- a/libs/entry/tests/GracefulStopTest.cpp
+++ b/libs/entry/tests/GracefulStopTest.cpp
@@ -73,6 +73,8 @@
     CPPUNIT_TEST(requestThatWaitsToBeAcceptedIsAnsweredByALateProcess);
     CPPUNIT_TEST(requestLateInTheGraceIsRejectedAtOnce);
     CPPUNIT_TEST(signalThatIsNoticedLateLeavesTimeForTheAnswers);
+    CPPUNIT_TEST(requestWhoseBodyIsStillComingIsAnswered);
+    CPPUNIT_TEST(unfinishedRequestBehindAnotherOneIsAnswered);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -177,6 +179,35 @@
         CPPUNIT_ASSERT(instance.receives("timed_out"));
         CPPUNIT_ASSERT(std::chrono::steady_clock::now() - signalled < 700ms);
     }
+
+    /** The connection of a request that had not arrived whole was closed without an answer. */
+    void requestWhoseBodyIsStillComingIsAnswered()
+    {
+        LeavingInstance instance;
+        boost::asio::write(instance.callerSocket,
+            boost::asio::buffer(std::string("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\na sea")));
+        instance.runUntil([] { return false; }, 50ms);
+        instance.stop.begin(600ms);
+        CPPUNIT_ASSERT_MESSAGE(instance.received, instance.receives("HTTP/1.1 503"));
+        CPPUNIT_ASSERT(instance.received.find("Retry-After") != std::string::npos);
+        CPPUNIT_ASSERT(instance.ends());
+    }
+
+    void unfinishedRequestBehindAnotherOneIsAnswered()
+    {
+        LeavingInstance instance;
+        instance.run("/1");
+        boost::asio::write(instance.callerSocket,
+            boost::asio::buffer(std::string("POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\na sea")));
+        instance.runUntil([] { return false; }, 50ms);
+        instance.stop.begin(600ms);
+        CPPUNIT_ASSERT(instance.receives("timed_out"));
+        const auto behindFirst = instance.received.find("timed_out");
+        CPPUNIT_ASSERT_MESSAGE(instance.received, instance.runUntil([&] {
+            return instance.received.find("HTTP/1.1 503", behindFirst) != std::string::npos;
+        }));
+        CPPUNIT_ASSERT(instance.ends());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GracefulStopTest);
--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -44,6 +44,8 @@
     /** Answers end their connections from now on. Connections without a request stay open: one may be on its way, and
      *  only an answer tells the caller to send no more. */
     void drain();
+    /** Answers 503 to the requests that have arrived in part, behind the answers that are due before them. */
+    void rejectUnfinishedRequests();
     /** Whether no connection has had a request, also in what its socket holds, for @p idleTime. */
     bool isQuiet(Duration idleTime) const;
     /** Whether every request that has arrived is answered, and the answers have reached the callers' machines. */
--- a/libs/http/include/http/ServerConnection.h
+++ b/libs/http/include/http/ServerConnection.h
@@ -100,6 +100,8 @@
     void checkTimeouts(Clock::time_point now);
     /** The answer to the newest request ends the connection from now on. */
     void drain() noexcept { m_isDraining = true; }
+    /** Answers 503 to a request that has arrived in part, and ends the connection with that answer. */
+    void rejectUnfinishedRequest();
     /** Closes the connection if nothing happens on it. */
     void closeIfIdle(CloseReason);
     /** Closes at once; callers of open exchanges count as gone. */
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -195,6 +195,12 @@
         connection->drain();
 }
 
+void HttpServer::rejectUnfinishedRequests()
+{
+    for (const auto& [key, connection] : m_connections)
+        connection->rejectUnfinishedRequest();
+}
+
 bool HttpServer::isQuiet(Duration idleTime) const
 {
     const auto now = ServerConnection::Clock::now();
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -190,7 +190,16 @@
     m_acceptsRequests = false;
     m_buffer.consume(m_buffer.size());
     m_exchanges.push_back(exchange);
-    exchange->respond(makeResponse(status, "text/plain", std::string(http::obsolete_reason(status)) + "\n"));
+    auto response = makeResponse(status, "text/plain", std::string(http::obsolete_reason(status)) + "\n");
+    if (status == http::status::service_unavailable)
+        response.set(http::field::retry_after, "0"); // Another instance can take it at once.
+    exchange->respond(std::move(response));
+}
+
+void ServerConnection::rejectUnfinishedRequest()
+{
+    if (m_isReadingRequest && m_acceptsRequests && !m_isClosed)
+        rejectInput(http::status::service_unavailable);
 }
 
 void ServerConnection::noteExpectation()
