http, platform: bound the bytes of all responses together

Another operator's report: faulty servers sent bytes without end, and the machine that had called them ran out of memory, with the requests of its other callers.

Cause: each response may take 8 MiB, its head 32 KB, what the parser leaves 64 KB; nothing bounds the sum over the connections.

Change: ByteAccount counts the bytes of the responses that are being read from servers and peers, and of those that are ready until callers have them. Ready responses are counted, not cut.

--- a/libs/http/fuzz/RequestFuzzer.cpp
+++ b/libs/http/fuzz/RequestFuzzer.cpp
@@ -48,7 +48,7 @@
         limits.headerBytes = 65'536;
         limits.bodyBytes = 2'048;
         const auto connection = std::make_shared<ServerConnection>(
-            std::move(socket), limits,
+            std::move(socket), limits, nullptr,
             [&](const std::shared_ptr<HttpExchange>& exchange) {
                 const auto& request = exchange->request;
                 reading.requests.push_back(
--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -4,6 +4,7 @@
 
 #include "base/SteadyTime.h"
 #include "base/Time.h"
+#include "http/ByteAccount.h"
 #include "http/MessageHeaders.h"
 
 #include <boost/asio/io_context.hpp>
@@ -33,6 +34,7 @@
     Duration acknowledgeTimeout = std::chrono::seconds { 2 };
     // Maximum size of a response body. It bounds the memory that a server which never stops sending can take.
     std::uint64_t responseBytes = 8'388'608;
+    std::shared_ptr<ByteAccount> bytes {}; // Bounds the sum over all connections. Empty: there is no such bound.
     std::optional<boost::asio::ip::address> source {}; // Local address; the kernel chooses one if it is empty.
 };
 
@@ -127,6 +129,9 @@
     void startResponseTimer(Duration timeout);
     void endOverdue(std::uint64_t exchange);
     void resetParser();
+    /** Counts the bytes that are held of the response. Returns false if there is no room for them. */
+    bool claimBytes();
+    void endRevoked(std::uint64_t exchange);
 
     boost::asio::io_context& m_context;
     const boost::asio::ip::tcp::endpoint m_endpoint;
@@ -139,6 +144,7 @@
     State m_state = State::New;
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<Parser> m_parser; // Set exactly while a response is awaited.
+    std::optional<ByteAccount::Claim> m_claim; // Of the bytes of the response that is read.
     std::optional<HttpRequest> m_request;
     std::unique_ptr<boost::beast::http::request_serializer<boost::beast::http::string_body>> m_serializer;
     ResponseCheck m_check;
--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -30,9 +30,10 @@
 public:
     using EndHandler = std::function<void(const ConnectionEnd&)>;
 
-    /** @p onEnd, which may be empty, is called when a connection has ended. */
+    /** @p onEnd, which may be empty, is called when a connection has ended. @p bytes, which may be null, counts the
+     *  responses until they are written. */
     HttpServer(boost::asio::io_context&, HttpServerLimits, std::size_t maximumConnections,
-        ServerConnection::RequestHandler, EndHandler onEnd = {});
+        ServerConnection::RequestHandler, EndHandler onEnd = {}, std::shared_ptr<ByteAccount> bytes = {});
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
@@ -69,6 +70,7 @@
     const std::size_t m_maximumConnections;
     ServerConnection::RequestHandler m_onRequest;
     EndHandler m_onEnd;
+    const std::shared_ptr<ByteAccount> m_bytes;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_sweepTimer;
     std::map<ServerConnection*, std::shared_ptr<ServerConnection>> m_connections;
--- a/libs/http/include/http/ServerConnection.h
+++ b/libs/http/include/http/ServerConnection.h
@@ -5,6 +5,7 @@
 #include "base/EnumNames.h"
 #include "base/SteadyTime.h"
 #include "base/Time.h"
+#include "http/ByteAccount.h"
 #include "http/MessageHeaders.h"
 #include "http/PendingInput.h"
 
@@ -83,6 +84,7 @@
 
     std::weak_ptr<ServerConnection> m_connection;
     std::optional<HttpResponse> m_response;
+    std::optional<ByteAccount::Claim> m_claim; // Of the response, until it is written.
     bool m_closes = false; // The connection ends after this answer: the caller or a protocol error wants it.
 };
 
@@ -93,7 +95,9 @@
     using RequestHandler = std::function<void(const std::shared_ptr<HttpExchange>&)>;
     using ClosedHandler = std::function<void(ServerConnection&)>;
 
-    ServerConnection(boost::asio::ip::tcp::socket, const HttpServerLimits&, RequestHandler, ClosedHandler);
+    /** @p bytes, which may be null, counts the responses until they are written. */
+    ServerConnection(boost::asio::ip::tcp::socket, const HttpServerLimits&, std::shared_ptr<ByteAccount> bytes,
+        RequestHandler, ClosedHandler);
 
     void start();
     /** Closes the connection if a time limit has passed. Call it every 100 ms or so. */
@@ -141,6 +145,7 @@
 
     boost::asio::ip::tcp::socket m_socket;
     const HttpServerLimits& m_limits;
+    const std::shared_ptr<ByteAccount> m_bytes;
     RequestHandler m_onRequest;
     ClosedHandler m_onClosed;
     boost::beast::flat_buffer m_buffer;
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -27,6 +27,7 @@
     constexpr std::size_t unparsedBytes = 65'536;
     // A server that sends more responses to other requests, or more informational ones, is faulty.
     constexpr unsigned maximumSkippedResponses = 16;
+    constexpr auto noRoomMessage = "the response exceeds the memory for messages";
     // Bounds the memory of a connection, at one new connection for so many refusals.
     constexpr std::size_t maximumRefusals = 128;
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -86,6 +87,12 @@
     ++m_exchange;
     if (timeout)
         startResponseTimer(*timeout);
+    if (m_options.bytes && !m_claim) {
+        m_claim.emplace(m_options.bytes, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                asio::post(self->m_context, [self, exchange = self->m_exchange] { self->endRevoked(exchange); });
+        });
+    }
     m_idleBefore = std::chrono::duration_cast<Duration>(Clock::now() - m_idleSince);
     resetParser();
     if (m_state == State::New)
@@ -294,12 +301,25 @@
         if (!m_parser->is_done()) {
             if (m_buffer.size() > unparsedBytes)
                 fail("malformed response: a header or chunk header without an end", true);
+            else if (!claimBytes())
+                fail(noRoomMessage, true);
             return;
         }
         takeResponse();
     }
 }
 
+bool ClientConnection::claimBytes()
+{
+    return !m_claim || m_claim->resize(m_parser->get().body().capacity() + m_buffer.capacity());
+}
+
+void ClientConnection::endRevoked(std::uint64_t exchange)
+{
+    if (m_onResult && m_exchange == exchange)
+        fail(noRoomMessage, true);
+}
+
 void ClientConnection::takeResponse()
 {
     const bool keepsOpen = m_parser->keep_alive();
@@ -354,6 +374,8 @@
     const auto onResult = std::exchange(m_onResult, nullptr);
     m_check = nullptr;
     m_parser.reset();
+    if (m_claim)
+        m_claim->resize(0);
     m_responseTimer.cancel();
     m_idleSince = Clock::now();
     if (m_isRetired)
@@ -377,6 +399,8 @@
     const auto self = shared_from_this();
     m_state = State::Closed;
     m_onResult = nullptr;
+    m_parser.reset();
+    m_claim.reset();
     m_connectTimer.cancel();
     m_responseTimer.cancel();
     error_code ec;
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -72,11 +72,12 @@
 }
 
 HttpServer::HttpServer(asio::io_context& context, HttpServerLimits limits, std::size_t maximumConnections,
-    ServerConnection::RequestHandler onRequest, EndHandler onEnd)
+    ServerConnection::RequestHandler onRequest, EndHandler onEnd, std::shared_ptr<ByteAccount> bytes)
     : m_limits(limits)
     , m_maximumConnections(maximumConnections)
     , m_onRequest(std::move(onRequest))
     , m_onEnd(std::move(onEnd))
+    , m_bytes(std::move(bytes))
     , m_acceptor(context)
     , m_sweepTimer(context)
 {
@@ -130,7 +131,7 @@
 void HttpServer::open(asio::ip::tcp::socket socket)
 {
     auto connection = std::make_shared<ServerConnection>(
-        std::move(socket), m_limits, m_onRequest, [this, isAlive = m_isAlive](ServerConnection& closed) {
+        std::move(socket), m_limits, m_bytes, m_onRequest, [this, isAlive = m_isAlive](ServerConnection& closed) {
             if (!*isAlive)
                 return;
             m_connections.erase(&closed);
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -39,14 +39,19 @@
         return;
     m_response = std::move(response);
     onCallerGone = nullptr;
-    if (const auto connection = m_connection.lock())
-        connection->answered(*this);
+    const auto connection = m_connection.lock();
+    if (!connection)
+        return;
+    if (connection->m_bytes)
+        m_claim.emplace(connection->m_bytes, nullptr).resize(m_response->body().capacity());
+    connection->answered(*this);
 }
 
-ServerConnection::ServerConnection(
-    asio::ip::tcp::socket socket, const HttpServerLimits& limits, RequestHandler onRequest, ClosedHandler onClosed)
+ServerConnection::ServerConnection(asio::ip::tcp::socket socket, const HttpServerLimits& limits,
+    std::shared_ptr<ByteAccount> bytes, RequestHandler onRequest, ClosedHandler onClosed)
     : m_socket(std::move(socket))
     , m_limits(limits)
+    , m_bytes(std::move(bytes))
     , m_onRequest(std::move(onRequest))
     , m_onClosed(std::move(onClosed))
     , m_lastActivity(Clock::now())
@@ -361,6 +366,7 @@
     // Handlers may answer or drop other exchanges of this connection.
     const auto exchanges = std::exchange(m_exchanges, {});
     for (const auto& exchange : exchanges) {
+        exchange->m_claim.reset();
         if (auto onGone = std::exchange(exchange->onCallerGone, nullptr))
             onGone();
     }
