entry: skip a reader that doesn't know one table for that table only

Cause: a reader that answers "not known" for one table was skipped for all tables. A follower of another table missed the reader that knew it, and read the store itself 3 s after its failed call, as one call per 3 s retries for all.

Change: what a reader does not know is kept by table and reader, and so is the growing backoff; a reader that stays silent is still skipped for all. The line table_reader_passed_over names the table.

--- a/libs/entry/include/entry/TableRelay.h
+++ b/libs/entry/include/entry/TableRelay.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace peridot {
@@ -31,9 +32,9 @@
     Duration answerMargin = std::chrono::milliseconds { 350 };
     // A reader that did not respond in time is not used for this long. Membership removes a failed reader sooner.
     Duration unresponsiveReaderBackoff = std::chrono::seconds { 3 };
-    // A reader that responded that it cannot provide the changes, because it lost contact with the store or its history
-    // is too short, is not used for this long. It may be able to respond again at any moment. Each further such
-    // response doubles the time, up to the maximum.
+    // A reader that responded that it cannot provide the changes of a table, because it lost contact with the store or
+    // its history is too short, is not used for that table for this long. It may be able to respond again at any
+    // moment. Each further such response doubles the time, up to the maximum.
     Duration unknownChangesBackoff = std::chrono::milliseconds { 300 };
     Duration maximumUnknownChangesBackoff = std::chrono::milliseconds { 1'200 };
     // Time for which a pull is held until the store has responded to this instance for the first time, whatever the
@@ -86,8 +87,8 @@
 
     TableRelay(InstanceId self, TableRelayOptions, Ports, StoreEras&, EventLog&);
 
-    /** Whether another instance reads the store for this one, so that pull() may be called. */
-    bool canPull(TimePoint now) const { return !reader(now).address.empty(); }
+    /** Whether another instance reads the table for this one, so that pull() may be called. */
+    bool canPull(const std::string& table, TimePoint now) const { return !reader(table, now).address.empty(); }
     /** Whether this instance is one of the readers, or its region has none. */
     bool isReader() const;
     /** Whether this instance may read the store now although it is not a reader. After a failure this returns true for
@@ -169,8 +170,14 @@
         std::vector<HeldPull> held {}; // Pulls of peers that wait for a change.
     };
 
-    TableReader reader(TimePoint now) const;
-    void skipReader(const InstanceId& reader, const char* reason, Duration, TimePoint now);
+    /** When a reader that did not know the changes of a table is asked for it again. */
+    struct UnknownChanges {
+        Duration backoff { 0 };
+        TimePoint until {};
+    };
+
+    TableReader reader(const std::string& table, TimePoint now) const;
+    void logSkip(const InstanceId& reader, const char* reason, const std::string& table);
     static bool hasChangesFor(const HeldPull&, const Table&);
     /** Whether the response to the pull is the whole table. */
     static bool needsWholeTable(const HeldPull&, const Table&);
@@ -189,9 +196,9 @@
     std::map<std::uint64_t, OpenPull> m_openPulls; // Pulls sent to a reader and not yet answered, by sequence number.
     // By table name, the reader that this instance's position comes from. No entry if it was read from the store.
     std::map<std::string, InstanceId> m_versionSources;
-    std::map<InstanceId, TimePoint> m_skippedUntil; // The time until which each skipped reader is not used.
-    // Last backoff of each reader that has not provided changes since it responded that it does not know them.
-    std::map<InstanceId, Duration> m_unknownChangesBackoffs;
+    std::map<InstanceId, TimePoint> m_skippedUntil; // The time until which each skipped reader is not used at all.
+    // By table and reader, for readers that have not provided changes since they responded that they do not know them.
+    std::map<std::pair<std::string, InstanceId>, UnknownChanges> m_unknownChanges;
     // Time from which this instance may read the store although it is not a reader. Set while its last read of any
     // table has failed.
     std::optional<TimePoint> m_nextDirectRead;
--- a/libs/entry/src/TableFollower.cpp
+++ b/libs/entry/src/TableFollower.cpp
@@ -140,7 +140,7 @@
 
 void TableFollower::pullOrReadChanges()
 {
-    if (m_relay.canPull(m_timers.now()))
+    if (m_relay.canPull(m_options.table, m_timers.now()))
         pullChanges();
     else
         readUnlessBackingOff();
@@ -150,7 +150,7 @@
 {
     if (m_relay.isReader() || m_relay.tryDirectRead(m_timers.now()))
         isOfNewestEra() ? readChanges() : readSnapshot({});
-    else if (m_relay.canPull(m_timers.now()))
+    else if (m_relay.canPull(m_options.table, m_timers.now()))
         pullChanges(); // The reader that failed is skipped now, so this pulls from the next one.
     else
         callAfter(m_options.readerPullInterval, [this] { pullOrReadChanges(); });
@@ -168,7 +168,7 @@
             if (!changes) {
                 // A reader that does not know the changes says so at once, so asking the next one costs no time.
                 m_needsConfirmation = true;
-                if (changes.error() == PullFailure::NotKnown && m_relay.canPull(m_timers.now()))
+                if (changes.error() == PullFailure::NotKnown && m_relay.canPull(m_options.table, m_timers.now()))
                     pullChanges();
                 else
                     readUnlessBackingOff();
--- a/libs/entry/src/TableRelay.cpp
+++ b/libs/entry/src/TableRelay.cpp
@@ -23,10 +23,13 @@
 }
 
 /** Returns the first reader that is not skipped. The address is empty if this instance has to read the store itself. */
-TableReader TableRelay::reader(TimePoint now) const
+TableReader TableRelay::reader(const std::string& table, TimePoint now) const
 {
     for (const auto& candidate : m_ports.readers()) {
-        if (const auto it = m_skippedUntil.find(candidate.id); it == m_skippedUntil.end() || it->second <= now)
+        const auto skipped = m_skippedUntil.find(candidate.id);
+        const auto unknown = m_unknownChanges.find({ table, candidate.id });
+        if ((skipped == m_skippedUntil.end() || skipped->second <= now)
+            && (unknown == m_unknownChanges.end() || unknown->second.until <= now))
             return candidate.id == m_self ? TableReader {} : candidate;
     }
     return {};
@@ -49,16 +52,16 @@
     return true;
 }
 
-void TableRelay::skipReader(const InstanceId& reader, const char* reason, Duration time, TimePoint now)
+void TableRelay::logSkip(const InstanceId& reader, const char* reason, const std::string& table)
 {
-    m_skippedUntil[reader] = now + time;
-    m_log.write(LogLevel::Info, LogLine("table_reader_passed_over").add("reader", reader).add("reason", reason));
+    m_log.write(LogLevel::Info,
+        LogLine("table_reader_passed_over").add("reader", reader).add("reason", reason).add("table", table));
 }
 
 void TableRelay::pull(
     const std::string& table, const StorePosition& known, Duration wait, TimePoint now, PullHandler handler)
 {
-    const auto target = reader(now);
+    const auto target = reader(table, now);
     const auto position = m_eras.resolve(known).value_or(known);
     const auto sequence = ++m_sequence;
     const auto source = m_versionSources.find(table);
@@ -77,13 +80,15 @@
     const auto position = m_eras.resolve(changes.position);
     const bool isOfPulledEra = position && position->era == pull.position.era;
     if (!changes.isKnown || !position || position->era < m_eras.newest() || (!changes.isWhole && !isOfPulledEra)) {
-        auto& backoff = m_unknownChangesBackoffs[pull.reader];
-        backoff = std::clamp(backoff * 2, m_options.unknownChangesBackoff, m_options.maximumUnknownChangesBackoff);
-        skipReader(pull.reader, "not_known", backoff, now);
+        auto& unknown = m_unknownChanges[{ pull.table, pull.reader }];
+        unknown.backoff
+            = std::clamp(unknown.backoff * 2, m_options.unknownChangesBackoff, m_options.maximumUnknownChangesBackoff);
+        unknown.until = now + unknown.backoff;
+        logSkip(pull.reader, "not_known", pull.table);
         pull.handler(tl::make_unexpected(PullFailure::NotKnown));
         return;
     }
-    m_unknownChangesBackoffs.erase(pull.reader);
+    m_unknownChanges.erase({ pull.table, pull.reader });
     // If the reader's position is older than that of the pull, it has not yet read all that this instance has received,
     // and does not count as the source of its position.
     if (*position >= pull.position)
@@ -261,7 +266,8 @@
         it = m_openPulls.erase(it);
     }
     for (const auto& pull : expired) {
-        skipReader(pull.reader, "silent", m_options.unresponsiveReaderBackoff, now);
+        m_skippedUntil[pull.reader] = now + m_options.unresponsiveReaderBackoff;
+        logSkip(pull.reader, "silent", pull.table);
         pull.handler(tl::make_unexpected(PullFailure::Silent));
     }
 }
--- a/libs/entry/tests/TableRelayTest.cpp
+++ b/libs/entry/tests/TableRelayTest.cpp
@@ -48,10 +48,11 @@
 
         void pull(const std::string& name, std::uint64_t version, Duration wait) { pull(name, at(version), wait); }
 
-        void pull(const std::string& name, const StorePosition& position, Duration wait)
+        void pull(
+            const std::string& name, const StorePosition& position, Duration wait, const std::string& table = "servers")
         {
             auto& instance = m_instances.at(name);
-            instance.relay.pull("servers", position, wait, now, [&instance](const TableRelay::PullResult& changes) {
+            instance.relay.pull(table, position, wait, now, [&instance](const TableRelay::PullResult& changes) {
                 instance.results.push_back(changes ? std::optional(*changes) : std::nullopt);
             });
         }
@@ -174,6 +175,7 @@
     CPPUNIT_TEST(heartbeatsAreNotRelayed);
     CPPUNIT_TEST(peerThatReadTheStoreGetsEveryRow);
     CPPUNIT_TEST(peerThatChangedReaderGetsEveryRow);
+    CPPUNIT_TEST(readerThatDoesNotKnowOneTableIsUsedForTheOthers);
     CPPUNIT_TEST(peerOfAnEarlierEraGetsTheWholeTable);
     CPPUNIT_TEST(pullWaitsForTheTableOfTheNewEra);
     CPPUNIT_TEST(readerLearnsOfTheNewEraFromAPull);
@@ -188,11 +190,11 @@
     void firstReaderReadsTheStore()
     {
         Region region;
-        CPPUNIT_ASSERT(!region.add("a").relay.canPull(region.now));
-        CPPUNIT_ASSERT(region.add("b").relay.canPull(region.now));
-        CPPUNIT_ASSERT(region.add("c").relay.canPull(region.now));
+        CPPUNIT_ASSERT(!region.add("a").relay.canPull("servers", region.now));
+        CPPUNIT_ASSERT(region.add("b").relay.canPull("servers", region.now));
+        CPPUNIT_ASSERT(region.add("c").relay.canPull("servers", region.now));
         region.readers.clear();
-        CPPUNIT_ASSERT(!region.add("c").relay.canPull(region.now));
+        CPPUNIT_ASSERT(!region.add("c").relay.canPull("servers", region.now));
     }
 
     // A change must reach every instance at once, however many there are. Otherwise some of them would send requests to
@@ -238,7 +240,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, peer.results.size());
         CPPUNIT_ASSERT(!peer.results[0].has_value());
         // The former reader can pull from the next one.
-        CPPUNIT_ASSERT(reader.canPull(region.now));
+        CPPUNIT_ASSERT(reader.canPull("servers", region.now));
     }
 
     // A reader that the store refuses pulls from the next reader, whose first call of the store is still in flight. If
@@ -308,7 +310,7 @@
         region.deliver();
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, peer.results.size());
         CPPUNIT_ASSERT(peer.results[0].has_value());
-        CPPUNIT_ASSERT(peer.relay.canPull(region.now));
+        CPPUNIT_ASSERT(peer.relay.canPull("servers", region.now));
     }
 
     // A process with little processor time may be late at each tick.
@@ -428,6 +430,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, peer.results.back()->rows.rows.size());
     }
 
+    // A reader that did not know the changes of one table was skipped for all tables. After an outage of the store, a
+    // follower of another one then waited for its own next call of the store, 3 s later, and its instance went by an
+    // older configuration than the others.
+    void readerThatDoesNotKnowOneTableIsUsedForTheOthers()
+    {
+        Region region;
+        region.readers = { { InstanceId { "a" }, "a" } };
+        region.addReader("a");
+        auto& peer = region.add("c");
+        region.pull("c", at(10), Duration { 0 }, "op");
+        region.deliver();
+        CPPUNIT_ASSERT(!peer.results.at(0).has_value());
+        CPPUNIT_ASSERT(!peer.relay.canPull("op", region.now));
+        CPPUNIT_ASSERT(peer.relay.canPull("servers", region.now));
+        region.pullAndDeliver("c", 10, Duration { 0 });
+        CPPUNIT_ASSERT(peer.results.at(1).has_value());
+        // The response about one table does not end the backoff of the other one.
+        CPPUNIT_ASSERT(!peer.relay.canPull("op", region.now));
+        region.advance(milliseconds { 350 });
+        CPPUNIT_ASSERT(peer.relay.canPull("op", region.now));
+    }
+
     // The store came back from an older copy. A peer that named a version from before was told that it was up to date,
     // and missed every row that was written below that version.
     void peerOfAnEarlierEraGetsTheWholeTable()
