steering: decide anew about sends whose connections open when the operator changes what binds

Cause: a request is decided, and its connection to the server is opened, which takes up to a second. A configuration that moved the homes in that time bound requests that waited or were repeated, not those.

Change: after a new configuration or evacuation the next tick, 20 ms later at most, withdraws the sends whose requests have not been written; they are decided by what is in force. Requests that have been written go on.

--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -403,6 +403,8 @@
     std::map<std::string, WorkTimes> m_workTimes; // By route name.
     std::map<RequestHandle, std::unique_ptr<Request>> m_requests;
     std::set<FailureDomainId> m_evacuated;
+    // The operator has changed what binds sends. Those whose connections are still being opened are decided anew.
+    bool m_withdrawsSends = false;
     SteeringCounters m_counters;
 };
 
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -184,6 +184,7 @@
 {
     if (m_routes && routes->version() <= m_routes->version())
         return;
+    m_withdrawsSends = m_routes != nullptr;
     m_log.write(LogLevel::Info,
         LogLine("configuration_in_force")
             .add("version", routes->version())
@@ -212,6 +213,7 @@
 void TrafficSteering::setEvacuated(const std::set<FailureDomainId>& domains)
 {
     m_evacuated = domains;
+    m_withdrawsSends = true;
     configureServices();
 }
 
@@ -1150,6 +1152,8 @@
     else if (!m_unconfirmedCrashes.empty() && !m_reach.isProbing())
         beginProbes(true, now, actions);
     endOverdue(now, mayHaveResponse, actions);
+    if (std::exchange(m_withdrawsSends, false))
+        withdrawSends({}, actions);
     for (const auto& [id, service] : m_services) {
         service->offeredLoad.advance(now, true);
         service->largeLoad.advance(now, true);
--- a/libs/steering/tests/ConfigurationChangeTest.cpp
+++ b/libs/steering/tests/ConfigurationChangeTest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(queuedRequestOfARemovedRouteIsNotSent);
     CPPUNIT_TEST(requestThatMayHaveRunIsNotRepeatedAsUnsafe);
     CPPUNIT_TEST(requestThatMayHaveRunIsNotRepeatedBecauseItBecomesSafe);
+    CPPUNIT_TEST(requestWhoseConnectionIsBeingOpenedIsDecidedAnew);
     CPPUNIT_TEST(sendsObeyBothConfigurationsWhileTheseChange);
     CPPUNIT_TEST_SUITE_END();
 
@@ -100,6 +101,25 @@
         expectOnlySendTo(zagorje, steering.finished(1, report(DispatchResult::Broken), start + 50ms));
     }
 
+    /** A request whose connection to the server was still being opened, which takes up to a second, was sent by the home
+     *  regions of before once it was open. */
+    void requestWhoseConnectionIsBeingOpenedIsDecidedAnew()
+    {
+        TrafficSteering steering(options(), 1, m_log);
+        steering.setRoutes(*RouteTable::create(dataWithHomes(1, { jadran, zagorje }, {})));
+        steering.setServers(serversInAllRegions(2), start);
+        CPPUNIT_ASSERT(all<WithdrawSend>(steering.tick(start)).empty());
+        expectOnlySendTo(jadran, steering.begin(1, request("/lookup/x"), start));
+        steering.setRoutes(*RouteTable::create(dataWithHomes(2, { zagorje }, {})));
+        const auto withdrawn = all<WithdrawSend>(steering.tick(start + 20ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, withdrawn.size());
+        CPPUNIT_ASSERT_EQUAL(RequestHandle { 1 }, withdrawn.front().request);
+        CPPUNIT_ASSERT(all<WithdrawSend>(steering.tick(start + 40ms)).empty());
+        expectOnlySendTo(zagorje, steering.finished(1, report(DispatchResult::Withdrawn), start + 40ms));
+        steering.setEvacuated({ FailureDomainId("zagorje-a") });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, all<WithdrawSend>(steering.tick(start + 60ms)).size());
+    }
+
     /** No region is a home by both configurations. Waiting would not help, so the caller is to come back. */
     void requestWhoseHomesMoveAwayIsRejected()
     {
