--- a/libs/steering/tests/ConfigurationChangeTest.cpp
+++ b/libs/steering/tests/ConfigurationChangeTest.cpp
@@ -101,8 +101,8 @@
         expectOnlySendTo(zagorje, steering.finished(1, report(DispatchResult::Broken), start + 50ms));
     }
 
-    /** A request whose connection to the server was still being opened, which takes up to a second, was sent by the home
-     *  regions of before once it was open. */
+    /** A request whose connection to the server was still being opened, which takes up to a second, was sent by the
+     * home regions of before once it was open. */
     void requestWhoseConnectionIsBeingOpenedIsDecidedAnew()
     {
         TrafficSteering steering(options(), 1, m_log);
