steering: a restored list may know more than an instance that was cut off

An instance that had not reached the store before its return kept its older entry of a server that the copy lists as leaving, for up to 8 s.

Test: ServerRegistryTest::leavingServerStaysSoInARestoredList, extended.

--- a/libs/entry/include/entry/TableFollower.h
+++ b/libs/entry/include/entry/TableFollower.h
@@ -108,7 +108,7 @@
     /** The attempt to confirm the rows that began with the current operation has ended. */
     void attemptEnded() { m_lastAttempt = std::max(m_lastAttempt, m_operationStart); }
     void readSnapshot(const std::string& firstKey);
-    void applySnapshot(std::vector<StoreRow>, const StorePosition&, TimePoint asOf);
+    void applySnapshot(const std::vector<StoreRow>&, const StorePosition&, TimePoint asOf);
     void pullOrReadChanges();
     void readUnlessBackingOff();
     void pullChanges();
--- a/libs/entry/src/TableFollower.cpp
+++ b/libs/entry/src/TableFollower.cpp
@@ -123,7 +123,7 @@
     });
 }
 
-void TableFollower::applySnapshot(std::vector<StoreRow> rows, const StorePosition& position, TimePoint asOf)
+void TableFollower::applySnapshot(const std::vector<StoreRow>& rows, const StorePosition& position, TimePoint asOf)
 {
     const bool isRestored = std::exchange(m_hasSnapshot, true) && position.era > m_position.era && m_position.era;
     m_position = position;
--- a/libs/steering/src/ServerRegistry.cpp
+++ b/libs/steering/src/ServerRegistry.cpp
@@ -44,8 +44,12 @@
         if (const auto it = m_entries.find(server.id); it != m_entries.end()) {
             auto known = std::move(it->second.server);
             it->second = Entry { std::move(known) };
-            if (!isCurrent(server, now))
-                it->second.restored = RestoredEntry { server, takeOverAt };
+            if (isCurrent(server, now))
+                continue;
+            it->second.restored = RestoredEntry { server, takeOverAt };
+            // An instance that had not reached the store for a while may know less than the copy.
+            auto& inForce = it->second.server;
+            inForce.isLeaving = inForce.isLeaving || (server.isLeaving && server.incarnation == inForce.incarnation);
             continue;
         }
         Entry entry { server };
--- a/libs/steering/tests/ServerRegistryTest.cpp
+++ b/libs/steering/tests/ServerRegistryTest.cpp
@@ -191,6 +191,11 @@
         registry.put(server(1));
         CPPUNIT_ASSERT(!registry.servers()[1].isLeaving);
         CPPUNIT_ASSERT(!registry.expire(start + 60s));
+        // The copy may know more than an instance that did not reach the store before.
+        auto list = servers(4);
+        list[1] = leaving;
+        registry.replaceByRestored(list, start + 61s);
+        CPPUNIT_ASSERT(registry.servers()[1].isLeaving);
     }
 
     /** The copy lists a server that has ended since. */
