http: refuse responses whose status code is outside 100 to 599

Cause: Beast's parser takes any three digits as a status code, and nothing between ClientConnection and the caller looked at the code again but for the ones that it names. A code outside the 5xx also counted as a success of the server.

Evidence: a stand-in sends 000, 001, 099, 600 and 999 in the first line, behind an informational response and without a body, in one read and in two, over the whole path of the gateway. Before this change all of them reached the caller, of requests that may be repeated and of others, from servers and from other instances: brokenHeadIsRefused and the three brokenHead cases of BrokenExchangeTest failed on the first of them. 20, 2000, +20 and 2x0 were refused before; they stay in the test.

Why it works: the code is checked in ClientConnection as soon as the head has been parsed, for each response, also for one behind an informational one. All responses of servers, other instances and the store come through it. The exchange fails as malformed: the connection closes, the server counts as failed, a request that may be repeated goes to another server, another one gets 502. Sound responses, with unusual names, values and reasons among them, pass as before (soundHeadIsTakenAsItIs, soundHeadIsPassedOnAsItIs).

--- a/libs/entry/tests/BrokenExchangeTest.cpp
+++ b/libs/entry/tests/BrokenExchangeTest.cpp
@@ -1,7 +1,9 @@
-// Exchanges with backend servers and other instances that break off within the response: the caller must not get it.
+// Exchanges with backend servers and other instances whose response breaks off or is malformed: the caller must not get
+// it.
 
 #include "GatewayHarness.h"
 
+#include "support/BrokenHeads.h"
 #include "support/CutResponses.h"
 
 #include <cppunit/TestFixture.h>
@@ -45,12 +47,11 @@
     return options;
 }
 
-/** Two servers, of which the one that gets the first request breaks off its response. */
-struct CuttingServers {
-    CuttingServers(CallerAndGateway& harness, const CutResponse& cut)
-        : handler([this, &cut](const std::string&) {
-            return ++requests == 1 ? RawServer::Answer { cut.bytes, cut.end } : RawServer::Answer { wholeResponse };
-        })
+/** Two servers, of which the one that gets the first request sends a broken response. */
+struct BreakingServers {
+    BreakingServers(CallerAndGateway& harness, const RawServer::Answer& broken)
+        : handler([this, broken](
+                      const std::string&) { return ++requests == 1 ? broken : RawServer::Answer { wholeResponse }; })
         , first(harness.context, handler)
         , second(harness.context, handler)
     {
@@ -63,6 +64,11 @@
     RawServer second;
 };
 
+RawServer::Answer answerOf(const BrokenHead& broken, bool isCut)
+{
+    return { broken.bytes, {}, isCut ? std::optional(broken.cut) : std::nullopt };
+}
+
 /** An instance that reaches no server, and the instance to which it passes requests. */
 struct InstanceWithoutServers : CallerAndGateway {
     explicit InstanceWithoutServers(bool isIdempotent)
@@ -113,6 +119,10 @@
     CPPUNIT_TEST(requestThatMayRunOnceGetsAnError);
     CPPUNIT_TEST(brokenResponseOfAnInstanceIsNotPassedOn);
     CPPUNIT_TEST(instancesResponseDoesNotEndWithItsConnection);
+    CPPUNIT_TEST(idempotentRequestIsSentAgainAfterABrokenHead);
+    CPPUNIT_TEST(brokenHeadForARequestThatMayRunOnceIsAnError);
+    CPPUNIT_TEST(brokenHeadFromAnInstanceIsNotPassedOn);
+    CPPUNIT_TEST(soundHeadIsPassedOnAsItIs);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,7 +132,7 @@
         for (const auto& cut : cutResponses(sealOfCutResponse)) {
             CallerAndGateway harness(optionsOf("e-0"));
             harness.setRoute(true, 2);
-            CuttingServers servers(harness, cut);
+            BreakingServers servers(harness, { cut.bytes, cut.end });
             harness.send("/1");
             CPPUNIT_ASSERT_MESSAGE(cut.description(), hasAnswer(harness));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(
@@ -139,7 +149,7 @@
         for (const auto& cut : cutResponses(sealOfCutResponse)) {
             CallerAndGateway harness(optionsOf("e-0"));
             harness.setRoute(false, 2);
-            CuttingServers servers(harness, cut);
+            BreakingServers servers(harness, { cut.bytes, cut.end });
             harness.send("/1", "two seats", "POST");
             CPPUNIT_ASSERT_MESSAGE(cut.description(), hasAnswer(harness));
             // The status is 502, see CallerProtocolTest.
@@ -184,6 +194,80 @@
             }
         }
     }
+
+    /** A status of 000 reached callers. */
+    void idempotentRequestIsSentAgainAfterABrokenHead()
+    {
+        for (const auto& broken : brokenHeads(sealOfCutResponse)) {
+            for (const bool isCut : { false, true }) {
+                CallerAndGateway harness(optionsOf("e-0"));
+                harness.setRoute(true, 2);
+                BreakingServers servers(harness, answerOf(broken, isCut));
+                harness.send("/1");
+                const auto description = broken.description(isCut);
+                CPPUNIT_ASSERT_MESSAGE(description, hasAnswer(harness));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(description, wholeResponse.substr(0, 15), harness.received.substr(0, 15));
+                CPPUNIT_ASSERT_MESSAGE(description + "\n" + harness.received, harness.received.ends_with("whole"));
+                CPPUNIT_ASSERT_MESSAGE(harness.received, harness.received.find("Fault") == std::string::npos);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(description, 2, servers.requests);
+            }
+        }
+    }
+
+    void brokenHeadForARequestThatMayRunOnceIsAnError()
+    {
+        for (const auto& broken : brokenHeads(sealOfCutResponse)) {
+            for (const bool isCut : { false, true }) {
+                CallerAndGateway harness(optionsOf("e-0"));
+                harness.setRoute(false, 2);
+                BreakingServers servers(harness, answerOf(broken, isCut));
+                harness.send("/1", "two seats", "POST");
+                const auto description = broken.description(isCut);
+                CPPUNIT_ASSERT_MESSAGE(description, hasAnswer(harness));
+                CPPUNIT_ASSERT_MESSAGE(
+                    description + "\n" + harness.received, harness.received.ends_with("\r\n\r\nserver_failed"));
+                CPPUNIT_ASSERT_MESSAGE(harness.received, harness.received.find("Seal") == std::string::npos);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(description, 1, servers.requests);
+            }
+        }
+    }
+
+    /** A fault on the way between instances, or an instance of another build. */
+    void brokenHeadFromAnInstanceIsNotPassedOn()
+    {
+        for (const bool isIdempotent : { true, false }) {
+            InstanceWithoutServers harness(isIdempotent);
+            for (const auto& broken : brokenHeads(sealOfCutResponse)) {
+                for (const bool isCut : { false, true }) {
+                    harness.answer = answerOf(broken, isCut);
+                    const auto description = broken.description(isCut);
+                    CPPUNIT_ASSERT_MESSAGE(description, harness.isAnswered());
+                    CPPUNIT_ASSERT_MESSAGE(
+                        description + "\n" + harness.received, harness.received.ends_with("\r\n\r\nserver_failed"));
+                    CPPUNIT_ASSERT_MESSAGE(harness.received, harness.received.find("Seal") == std::string::npos);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(description, 1, harness.passes);
+                }
+            }
+        }
+    }
+
+    void soundHeadIsPassedOnAsItIs()
+    {
+        for (const auto& sound : soundHeads(sealOfCutResponse)) {
+            CallerAndGateway harness(optionsOf("e-0"));
+            harness.setRoute(false, 1);
+            BreakingServers servers(harness, { sound.bytes });
+            harness.send("/1", "two seats", "POST");
+            CPPUNIT_ASSERT_MESSAGE(sound.bytes, hasAnswer(harness));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                sound.bytes, "HTTP/1.1 " + std::to_string(sound.status) + " ", harness.received.substr(0, 13));
+            CPPUNIT_ASSERT_MESSAGE(
+                harness.received, harness.received.find("\r\n" + sound.field + "\r\n") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(harness.received, harness.received.find(sealOfCutResponse) != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(harness.received, harness.received.find("\r\none, two") != std::string::npos);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.bytes, 1, servers.requests);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenExchangeTest);
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -36,6 +36,12 @@
 
     bool isInformational(const HttpResponse& response) { return response.result_int() / 100 == 1; }
 
+    /** RFC 9110, section 15. Beast takes any three digits. */
+    bool hasValidStatus(const HttpResponse& response)
+    {
+        return response.result_int() >= 100 && response.result_int() <= 599;
+    }
+
     /** Requests ask for no other coding. The parser ignores others, and takes what they coded for the body. */
     bool hasUnknownCoding(const HttpFields& fields)
     {
@@ -288,6 +294,10 @@
         }
         // An eager parser goes on with the body after a header that it refuses, and reserves the announced length.
         if (!ec && !m_parser->eager() && m_parser->is_header_done()) {
+            if (!hasValidStatus(m_parser->get())) {
+                fail("malformed response: status code " + std::to_string(m_parser->get().result_int()), true);
+                return;
+            }
             if (hasUnknownCoding(m_parser->get())) {
                 fail("malformed response: unknown transfer coding", true);
                 return;
--- a/libs/http/tests/BrokenResponseTest.cpp
+++ b/libs/http/tests/BrokenResponseTest.cpp
@@ -1,6 +1,7 @@
 // Responses that break off or are framed ambiguously, of servers and to callers: none may be taken for a whole one.
 
 #include "LoopbackCaller.h"
+#include "support/BrokenHeads.h"
 #include "support/CutResponses.h"
 
 #include "http/ClientConnection.h"
@@ -55,6 +56,12 @@
 
     void send(const std::string& bytes) { asio::write(server, asio::buffer(bytes)); }
 
+    void sendIfOpen(const std::string& bytes)
+    {
+        error_code ec; // The connection may have refused the bytes before these.
+        asio::write(server, asio::buffer(bytes), ec);
+    }
+
     void runReady()
     {
         m_context.restart();
@@ -104,6 +111,8 @@
     CPPUNIT_TEST(lostConnectionFoundByTheWriteDoesNotEndABody);
     CPPUNIT_TEST(earlyResponseIsWholeIfItsConnectionWasClosed);
     CPPUNIT_TEST(ambiguousFramingIsRefused);
+    CPPUNIT_TEST(brokenHeadIsRefused);
+    CPPUNIT_TEST(soundHeadIsTakenAsItIs);
     CPPUNIT_TEST(answerThatBreaksOffIsShorterThanAnnounced);
     CPPUNIT_TEST_SUITE_END();
 
@@ -199,6 +208,50 @@
         }
     }
 
+    /** Statuses that no server may send, and lines whose field has no valid name, were taken for parts of a response.
+     */
+    void brokenHeadIsRefused()
+    {
+        for (const auto& broken : brokenHeads("X-Id: 1\r\n")) {
+            for (const bool isCut : { false, true }) {
+                OpenRequest request(m_context, m_acceptor);
+                request.readRequest();
+                request.send(broken.bytes.substr(0, isCut ? broken.cut : broken.bytes.size()));
+                if (isCut) {
+                    request.runReady();
+                    request.sendIfOpen(broken.bytes.substr(broken.cut));
+                }
+                const auto description = broken.description(isCut);
+                CPPUNIT_ASSERT_MESSAGE(description, !request.isWhole());
+                CPPUNIT_ASSERT_MESSAGE(description, request.result->error().isMalformed);
+                CPPUNIT_ASSERT_MESSAGE(description, request.result->error().wasSent);
+            }
+        }
+    }
+
+    void soundHeadIsTakenAsItIs()
+    {
+        for (const auto& sound : soundHeads("X-Id: 1\r\n")) {
+            for (std::size_t cut = 0; cut < sound.bytes.size(); ++cut) {
+                OpenRequest request(m_context, m_acceptor);
+                request.readRequest();
+                request.send(sound.bytes.substr(0, cut));
+                request.runReady();
+                request.send(sound.bytes.substr(cut));
+                CPPUNIT_ASSERT_MESSAGE(sound.bytes, request.isWhole());
+                const auto& response = **request.result;
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.bytes, sound.status, response.result_int());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.bytes, std::string("one, two"), response.body());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.bytes, std::string("1"), std::string(response["X-Id"]));
+                if (sound.field.empty())
+                    continue;
+                const auto colon = sound.field.find(": ");
+                CPPUNIT_ASSERT_EQUAL(
+                    sound.field.substr(colon + 2), std::string(response[sound.field.substr(0, colon)]));
+            }
+        }
+    }
+
     /** A process that ends while it writes an answer must leave the caller with less than was announced, and without
      *  the answers behind it. */
     void answerThatBreaksOffIsShorterThanAnnounced()
--- /dev/null
+++ b/tests/support/BrokenHeads.h
@@ -0,0 +1,75 @@
+// Responses whose status line, header or trailer breaks the grammar of HTTP, and sound ones that look unusual, for the
+// tests of each way to the caller.
+
+#pragma once
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridot {
+
+/** A whole response with one fault. */
+struct BrokenHead {
+    std::string place;
+    std::string bytes;
+    std::size_t cut = 0; // Where the fault ends: what a server sends in two parts is cut here.
+
+    std::string description(bool isCut) const { return place + (isCut ? ", in two reads: " : ": ") + bytes; }
+};
+
+/** RFC 9110, section 15: a status code is a number from 100 to 599. */
+inline constexpr std::array<std::string_view, 9> brokenStatusCodes { "000", "001", "099", "600", "999", "20", "2000",
+    "+20", "2x0" };
+
+/** Responses to a request with @p headers in the final head. The faults stand in the status line, also behind an
+ *  informational response. */
+inline std::vector<BrokenHead> brokenHeads(const std::string& headers, const std::string& body = "one, two")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\n";
+    const auto fields = "Content-Length: " + std::to_string(body.size()) + "\r\n" + headers;
+    const auto final = ok + fields + "\r\n" + body;
+    std::vector<BrokenHead> heads;
+    const auto add = [&](const std::string& place, const std::string& before, const std::string& fault,
+                         const std::string& behind) {
+        heads.push_back({ place, before + fault + behind, before.size() + fault.size() });
+    };
+    for (const auto code : brokenStatusCodes) {
+        const auto line = "HTTP/1.1 " + std::string(code);
+        add("status line", "", line, " OK\r\n" + fields + "\r\n" + body);
+        add("status line behind an informational response", hints + "\r\n", line, " OK\r\n" + fields + "\r\n" + body);
+        add("status line without a body", "", line, " OK\r\n" + headers + "Content-Length: 0\r\n\r\n");
+        add("status line before a sound response", "", line, " OK\r\n" + headers + "\r\n" + final);
+    }
+    return heads;
+}
+
+/** A sound response, and what a caller gets of it. */
+struct SoundHead {
+    std::string bytes;
+    unsigned status = 200;
+    std::string field; // A line of the head that is passed on as it is.
+};
+
+inline std::vector<SoundHead> soundHeads(const std::string& headers, const std::string& body = "one, two")
+{
+    const auto rest = headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::vector<SoundHead> heads;
+    for (const auto* line : { "200 OK", "299 Miscellaneous", "400 Bad Request", "599 ", "404 \xc3\xa4\tb" })
+        heads.push_back({ "HTTP/1.1 " + std::string(line) + "\r\n" + rest,
+            static_cast<unsigned>(std::stoul(std::string(line).substr(0, 3))), "" });
+    for (const std::string field : { "!#$%&'*+-.^_`|~09aZ: token", "X-Text: \xc3\xa4 \xff", "X-Spaces: a \t b",
+             "X-Empty: ", "X: \"a: b\\\" c\"", "X-Line: HTTP/1.1 000 OK" })
+        heads.push_back({ "HTTP/1.1 200 OK\r\n" + field + "\r\n" + rest, 200, field });
+    heads.push_back(
+        { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, 200,
+            "" });
+    heads.push_back({ "HTTP/1.1 200 OK\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n8;a=b\r\n" + body
+            + "\r\n0\r\nX-Trailer: t\r\n\r\n",
+        200, "" });
+    return heads;
+}
+
+}
--- a/tests/support/CutResponses.h
+++ b/tests/support/CutResponses.h
@@ -8,8 +8,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -79,6 +81,7 @@
     struct Answer {
         std::string bytes;
         std::optional<BreakOff> end {}; // Otherwise the connection is kept.
+        std::optional<std::size_t> cut {}; // The bytes behind it follow later, so that the reader needs two reads.
     };
     /** Returns the answer to a request, of which it gets the head and the body. */
     using Handler = std::function<Answer(const std::string& request)>;
@@ -99,8 +102,15 @@
 
 private:
     struct Connection {
+        explicit Connection(boost::asio::ip::tcp::socket accepted)
+            : socket(std::move(accepted))
+            , pause(socket.get_executor())
+        {
+        }
+
         boost::asio::ip::tcp::socket socket;
         std::string input;
+        boost::asio::steady_timer pause;
     };
 
     void accept()
@@ -109,7 +119,7 @@
             [this, isAlive = m_isAlive](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket) {
                 if (ec || !*isAlive)
                     return;
-                readHead(std::make_shared<Connection>(Connection { std::move(socket), {} }));
+                readHead(std::make_shared<Connection>(std::move(socket)));
                 accept();
             });
     }
@@ -139,8 +149,25 @@
 
     void answer(const std::shared_ptr<Connection>& connection, std::size_t size)
     {
-        const auto answer = m_handler(connection->input.substr(0, size));
+        auto answer = m_handler(connection->input.substr(0, size));
         connection->input.erase(0, size);
+        if (!answer.cut) {
+            finishAnswer(connection, answer);
+            return;
+        }
+        boost::system::error_code ec; // The client may have closed the connection.
+        boost::asio::write(connection->socket, boost::asio::buffer(answer.bytes, *answer.cut), ec);
+        answer.bytes.erase(0, *answer.cut);
+        connection->pause.expires_after(pauseInAnswer);
+        connection->pause.async_wait([this, isAlive = m_isAlive, connection, answer = std::move(answer)](
+                                         const boost::system::error_code& timerEc) {
+            if (!timerEc && *isAlive)
+                finishAnswer(connection, answer);
+        });
+    }
+
+    void finishAnswer(const std::shared_ptr<Connection>& connection, const Answer& answer)
+    {
         boost::system::error_code ec; // The client may have closed the connection.
         boost::asio::write(connection->socket, boost::asio::buffer(answer.bytes), ec);
         if (answer.end)
@@ -149,6 +176,9 @@
             readHead(connection);
     }
 
+    // The reader runs in the same thread, so that it has read the first part by then.
+    static constexpr std::chrono::milliseconds pauseInAnswer { 2 };
+
     boost::asio::ip::tcp::acceptor m_acceptor;
     Handler m_handler;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
