http: refuse responses with lines that begin with whitespace

Cause: Beast takes a line that begins with whitespace for a continuation of the line before it (RFC 9112, section 5.2) and joins the two. Another reader takes it for a field of its own, or for the length of the body. Requests with such lines were refused already, responses weren't, and nobody looked at trailers.

Evidence: a stand-in sends 16 names that are no tokens, with blanks, tabs and control bytes before, in and behind them, before and behind the other fields, in and behind an informational response and in a trailer, also as a length and a coding of the body, in one read and in two. Of these only the lines that begin with a blank or a tab, and stand behind a field or a trailer's field, reached the caller before this change; brokenHeadIsRefused and the brokenHead cases of BrokenExchangeTest failed on them. Beast refuses all others: already handled by peridot-entry, the tests stay.

Why it works: ResponseParser, the one place that reads responses for ClientConnection, refuses such a line in a head before Beast joins it, and in a trailer before its fields are read. A sender must not fold lines, so that no sound response is refused. The checks of status code and transfer coding moved there, so that other connections than ClientConnection can share them.

--- a/libs/entry/tests/BrokenExchangeTest.cpp
+++ b/libs/entry/tests/BrokenExchangeTest.cpp
@@ -195,7 +195,7 @@
         }
     }
 
-    /** A status of 000 reached callers. */
+    /** A status of 000 reached callers, as did lines whose field has no valid name. */
     void idempotentRequestIsSentAgainAfterABrokenHead()
     {
         for (const auto& broken : brokenHeads(sealOfCutResponse)) {
--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -6,12 +6,12 @@
 #include "base/Time.h"
 #include "http/ByteAccount.h"
 #include "http/MessageHeaders.h"
+#include "http/ResponseParser.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 
 #include <tl/expected.hpp>
@@ -116,7 +116,7 @@
         Open,
         Closed,
     };
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = ResponseParser<boost::beast::http::string_body>;
 
     void connect();
     void onConnected(const boost::system::error_code&);
--- a/libs/http/include/http/MessageHeaders.h
+++ b/libs/http/include/http/MessageHeaders.h
@@ -24,6 +24,11 @@
 /** The value of a header that may appear once; nothing if it is missing. The first one wins if it is repeated. */
 std::optional<std::string_view> headerValue(const HttpFields&, std::string_view name);
 
+/** Whether a line of the head in @p unparsed, or of a trailer, begins with whitespace and so continues the line before
+ *  it (RFC 9112, section 5.2). Beast joins such lines, which other parsers read as fields of their own. A head may be
+ *  unparsed from its start line on, or from one of the lines behind it. */
+bool hasFoldedLine(std::string_view unparsed, bool isStartLineParsed);
+
 /** Parses a whole decimal number without sign. */
 std::optional<std::uint64_t> parseNumber(std::string_view text) noexcept;
 
--- /dev/null
+++ b/libs/http/include/http/ResponseParser.h
@@ -0,0 +1,125 @@
+// Parses responses. What Beast takes although no server may send it, or other parsers read differently, is refused.
+
+#pragma once
+
+#include "http/MessageHeaders.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace peridot {
+
+using ResponseHeader = boost::beast::http::response_header<HttpFields>;
+
+/** What makes a head with valid lines unacceptable; nothing if it is sound. */
+std::optional<std::string> findFault(const ResponseHeader&);
+
+/** Parses one response, final or informational. Not to be moved while it parses. */
+template <typename Body> class ResponseParser {
+public:
+    using Parser = boost::beast::http::response_parser<Body>;
+
+    /** Limits are in bytes; without @p bodyLimit a body has any length. A response to HEAD has no body. */
+    ResponseParser(std::uint32_t headerLimit, std::optional<std::uint64_t> bodyLimit, bool isToHead)
+    {
+        m_parser.header_limit(headerLimit);
+        if (bodyLimit)
+            m_parser.body_limit(*bodyLimit);
+        else
+            m_parser.body_limit(boost::none);
+        m_parser.skip(isToHead);
+        m_parser.on_chunk_header(m_onChunkHeader);
+    }
+
+    ResponseParser(const ResponseParser&) = delete;
+    ResponseParser& operator=(const ResponseParser&) = delete;
+
+    /** Parses @p input, which begins with what the last call left. Returns the number of bytes that were parsed, or why
+     *  they are malformed. */
+    tl::expected<std::size_t, std::string> put(boost::asio::const_buffer input)
+    {
+        std::size_t parsed = 0;
+        if (!m_parser.is_header_done()) {
+            if (hasFoldedLine(textOf(input), m_isStatusLineParsed))
+                return tl::make_unexpected(std::string(foldedLine));
+            if (const auto error = parse(input, parsed))
+                return tl::make_unexpected(*error);
+            m_isStatusLineParsed = m_isStatusLineParsed || parsed > 0;
+            if (!m_parser.is_header_done())
+                return parsed;
+            if (const auto fault = findFault(m_parser.get()))
+                return tl::make_unexpected(*fault);
+            // An eager parser goes on with the body after a header that is refused, and reserves the announced length.
+            m_parser.eager(true);
+        }
+        if (!m_parser.is_done() && input.size() > parsed) {
+            if (const auto error = parse(input, parsed))
+                return tl::make_unexpected(*error);
+        }
+        return parsed;
+    }
+
+    /** Ends the response with its connection. Returns why it is not whole. */
+    std::optional<std::string> putEnd()
+    {
+        boost::system::error_code ec;
+        if (!m_parser.is_done() && m_parser.got_some())
+            m_parser.put_eof(ec);
+        return ec ? std::optional(ec.message()) : std::nullopt;
+    }
+
+    bool isHeaderDone() const { return m_parser.is_header_done(); }
+    bool isDone() const { return m_parser.is_done(); }
+    bool keepsOpen() const { return m_parser.keep_alive(); }
+    typename Parser::value_type& message() { return m_parser.get(); }
+    typename Parser::value_type release() { return m_parser.release(); }
+
+private:
+    static constexpr std::string_view foldedLine = "a line that begins with whitespace";
+
+    static std::string_view textOf(boost::asio::const_buffer input)
+    {
+        return { static_cast<const char*>(input.data()), input.size() };
+    }
+
+    /** Parses what is behind the first @p parsed bytes, and counts them. */
+    std::optional<std::string> parse(boost::asio::const_buffer input, std::size_t& parsed)
+    {
+        boost::system::error_code ec;
+        m_inputEnd = static_cast<const char*>(input.data()) + input.size();
+        m_hasFoldedTrailer = false;
+        parsed += m_parser.put(input + parsed, ec);
+        if (m_hasFoldedTrailer)
+            return std::string(foldedLine);
+        if (ec && ec != boost::beast::http::error::need_more)
+            return ec.message();
+        return std::nullopt;
+    }
+
+    Parser m_parser;
+    bool m_isStatusLineParsed = false;
+    const char* m_inputEnd = nullptr; // Of the input that is parsed.
+    bool m_hasFoldedTrailer = false;
+    // Called before a chunk is parsed; the last chunk, once the input holds the whole trailer behind it.
+    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code&)> m_onChunkHeader
+        = [this](std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code& ec) {
+              if (size > 0)
+                  return;
+              const auto* trailer = extensions.data() + extensions.size();
+              m_hasFoldedTrailer = hasFoldedLine({ trailer, static_cast<std::size_t>(m_inputEnd - trailer) }, false);
+              if (m_hasFoldedTrailer)
+                  ec = boost::beast::http::error::bad_field;
+          };
+};
+
+}
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -3,7 +3,6 @@
 #include "http/PendingInput.h"
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <netinet/tcp.h>
@@ -36,19 +35,6 @@
 
     bool isInformational(const HttpResponse& response) { return response.result_int() / 100 == 1; }
 
-    /** RFC 9110, section 15. Beast takes any three digits. */
-    bool hasValidStatus(const HttpResponse& response)
-    {
-        return response.result_int() >= 100 && response.result_int() <= 599;
-    }
-
-    /** Requests ask for no other coding. The parser ignores others, and takes what they coded for the body. */
-    bool hasUnknownCoding(const HttpFields& fields)
-    {
-        const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
-        return std::any_of(first, last, [](const auto& it) { return !boost::beast::iequals(it.value(), "chunked"); });
-    }
-
 }
 
 error_code openSocket(asio::ip::tcp::socket& socket, const asio::ip::tcp::endpoint& remote,
@@ -146,11 +132,8 @@
 
 void ClientConnection::resetParser()
 {
-    m_parser = std::make_unique<Parser>();
-    m_parser->header_limit(responseHeaderBytes);
-    m_parser->body_limit(m_options.responseBytes);
-    if (m_request && m_request->method() == http::verb::head)
-        m_parser->skip(true);
+    const bool isToHead = m_request && m_request->method() == http::verb::head;
+    m_parser = std::make_unique<Parser>(responseHeaderBytes, m_options.responseBytes, isToHead);
 }
 
 void ClientConnection::connect()
@@ -285,35 +268,21 @@
 void ClientConnection::parse(bool isAtEnd)
 {
     while (m_onResult && m_state == State::Open) {
-        error_code ec;
         if (m_buffer.size() > 0) {
-            const auto consumed = m_parser->put(m_buffer.data(), ec);
-            m_buffer.consume(consumed);
-            if (ec == http::error::need_more)
-                ec = {};
-        }
-        // An eager parser goes on with the body after a header that it refuses, and reserves the announced length.
-        if (!ec && !m_parser->eager() && m_parser->is_header_done()) {
-            if (!hasValidStatus(m_parser->get())) {
-                fail("malformed response: status code " + std::to_string(m_parser->get().result_int()), true);
+            const auto parsed = m_parser->put(m_buffer.data());
+            if (!parsed) {
+                fail("malformed response: " + parsed.error(), true);
                 return;
             }
-            if (hasUnknownCoding(m_parser->get())) {
-                fail("malformed response: unknown transfer coding", true);
+            m_buffer.consume(*parsed);
+        }
+        if (isAtEnd) {
+            if (const auto error = m_parser->putEnd()) {
+                fail("malformed response: " + *error, true);
                 return;
             }
-            if (!m_parser->is_done()) {
-                m_parser->eager(true);
-                continue;
-            }
-        }
-        if (!ec && isAtEnd && !m_parser->is_done() && m_parser->got_some())
-            m_parser->put_eof(ec);
-        if (ec) {
-            fail("malformed response: " + ec.message(), true);
-            return;
         }
-        if (!m_parser->is_done()) {
+        if (!m_parser->isDone()) {
             if (m_buffer.size() > unparsedBytes)
                 fail("malformed response: a header or chunk header without an end", true);
             else if (!claimBytes())
@@ -326,7 +295,7 @@
 
 bool ClientConnection::claimBytes()
 {
-    return !m_claim || m_claim->resize(m_parser->get().body().capacity() + m_buffer.capacity());
+    return !m_claim || m_claim->resize(m_parser->message().body().capacity() + m_buffer.capacity());
 }
 
 void ClientConnection::endRevoked(std::uint64_t exchange)
@@ -337,7 +306,7 @@
 
 void ClientConnection::takeResponse()
 {
-    const bool keepsOpen = m_parser->keep_alive();
+    const bool keepsOpen = m_parser->keepsOpen();
     HttpResponse response = m_parser->release();
     if (isInformational(response)) {
         skipResponse();
--- a/libs/http/src/MessageHeaders.cpp
+++ b/libs/http/src/MessageHeaders.cpp
@@ -30,6 +30,15 @@
     return std::string_view(it->value().data(), it->value().size());
 }
 
+bool hasFoldedLine(std::string_view unparsed, bool isStartLineParsed)
+{
+    // An empty line behind the lines that are parsed ends the head.
+    if (isStartLineParsed && unparsed.starts_with("\r\n"))
+        return false;
+    const auto head = unparsed.substr(0, unparsed.find("\r\n\r\n"));
+    return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
 std::map<std::string, std::string> queryParameters(std::string_view target)
 {
     std::map<std::string, std::string> parameters;
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -160,15 +160,10 @@
     return !m_isClosed;
 }
 
-/** Beast accepts folded header lines, which other parsers read differently. */
 bool ServerConnection::headerIsSound() const
 {
     const auto data = m_buffer.data();
-    const std::string_view text(static_cast<const char*>(data.data()), data.size());
-    // The header is empty if its end follows the request line.
-    const bool isEmpty = m_isRequestLineRead && text.starts_with("\r\n");
-    const auto header = isEmpty ? std::string_view {} : text.substr(0, text.find("\r\n\r\n"));
-    return header.find("\r\n ") == std::string_view::npos && header.find("\r\n\t") == std::string_view::npos;
+    return !hasFoldedLine({ static_cast<const char*>(data.data()), data.size() }, m_isRequestLineRead);
 }
 
 void ServerConnection::finishRequest()
--- a/tests/support/BrokenHeads.h
+++ b/tests/support/BrokenHeads.h
@@ -23,14 +23,27 @@
 inline constexpr std::array<std::string_view, 9> brokenStatusCodes { "000", "001", "099", "600", "999", "20", "2000",
     "+20", "2x0" };
 
-/** Responses to a request with @p headers in the final head. The faults stand in the status line, also behind an
- *  informational response. */
+/** RFC 9110, section 5.1: the name of a field is a token, without whitespace before or behind it (RFC 9112, section
+ *  5.1). A line that begins with whitespace continues the line before it for some parsers (RFC 9112, section 5.2). */
+inline const std::array<std::string_view, 16>& brokenFieldNames()
+{
+    using namespace std::string_view_literals;
+    static constexpr std::array names { "X Fault"sv, " X-Fault"sv, "\tX-Fault"sv, "X-Fault "sv, "X-Fault\t"sv,
+        "X\tFault"sv, "X\0Fault"sv, "X\1Fault"sv, "X-Fault\1"sv, "\1X-Fault"sv, "X\013Fault"sv, "\014X-Fault"sv,
+        "X\033Fault"sv, "X\177Fault"sv, "X\rFault"sv, ""sv };
+    return names;
+}
+
+/** Responses to a request with @p headers in the final head. The faults stand in the status line, before and behind the
+ *  other fields, in an informational response, behind one, and in the trailer. */
 inline std::vector<BrokenHead> brokenHeads(const std::string& headers, const std::string& body = "one, two")
 {
     const std::string ok = "HTTP/1.1 200 OK\r\n";
     const std::string hints = "HTTP/1.1 103 Early Hints\r\n";
+    // The text of the last one goes on in a line that begins with whitespace.
     const auto fields = "Content-Length: " + std::to_string(body.size()) + "\r\n" + headers;
     const auto final = ok + fields + "\r\n" + body;
+    const auto chunks = ok + headers + "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n5\r\n, two\r\n0\r\n";
     std::vector<BrokenHead> heads;
     const auto add = [&](const std::string& place, const std::string& before, const std::string& fault,
                          const std::string& behind) {
@@ -43,6 +56,27 @@
         add("status line without a body", "", line, " OK\r\n" + headers + "Content-Length: 0\r\n\r\n");
         add("status line before a sound response", "", line, " OK\r\n" + headers + "\r\n" + final);
     }
+    for (const auto name : brokenFieldNames()) {
+        const auto line = std::string(name) + ": 1\r\n";
+        add("first field", ok, line, fields + "\r\n" + body);
+        add("last field", ok + fields, line, "\r\n" + body);
+        add("head of an informational response", hints + "Link: <a>\r\n", line, "\r\n" + final);
+        add("first field behind an informational response", hints + "Link: <a>\r\n\r\n" + ok, line,
+            fields + "\r\n" + body);
+        add("last field behind an informational response", hints + "\r\n" + ok + fields, line, "\r\n" + body);
+        add("trailer", chunks, line, "\r\n");
+        add("trailer behind another field", chunks + "X-Trailer: t\r\n", line, "\r\n");
+    }
+    // Two parsers would find different ends of the body.
+    for (const std::string name : { "Content-Length ", " Content-Length", "Content\1Length", "Content-Length\t" }) {
+        const auto line = name + ": 3\r\n";
+        add("length of the body", ok + headers, line, "\r\n" + body);
+        add("second length of the body", ok + fields, line, "\r\n" + body);
+        add("length of a body in chunks", ok + headers + "Transfer-Encoding: chunked\r\n", line,
+            "\r\n3\r\none\r\n0\r\n\r\n");
+    }
+    for (const std::string name : { "Transfer-Encoding ", " Transfer-Encoding", "Transfer-Encoding\t" })
+        add("coding of the body", ok + fields, name + ": chunked\r\n", "\r\n3\r\none\r\n0\r\n\r\n");
     return heads;
 }
 
