rest, peridotd: read responses with ResponseParser

A sound response behind an informational one did not arrive: the caller got "HTTP/1.1 100", and the final response stayed on the kept connection.

Cause: cpprestsdk's client reads any text for a status, splits lines at the first colon, trims the names, skips lines that it can't read, and knows no informational responses. After it a "Content-Length : 3" can't be told from a sound length, so that no check of the parsed fields can be whole.

Evidence: DaemonTest sends brokenHeads() over the whole path of the daemon, to requests that may be repeated and others, in one read and in two.

Why it works: StrictHttpClient sends and returns cpprestsdk's messages, but reads responses with the parser of libs/http, the same that peridot-entry goes by. As before, kept connections serve only requests that may run twice, and others are sent once. The check of X-Workspace in DaemonTest has a space behind the colon now, which cpprestsdk left out.

--- a/daemons/peridotd/src/BackendClients.cpp
+++ b/daemons/peridotd/src/BackendClients.cpp
@@ -4,21 +4,12 @@
 
 namespace {
 
-    // Bounds each phase of an exchange if its cancellation at the deadline should fail.
+    // Bounds an exchange if its cancellation at the deadline should fail.
     constexpr std::chrono::minutes exchangeTimeout { 10 };
     // Clients of backend servers that have left are dropped with their connections after this time.
     constexpr std::chrono::minutes unusedLifetime { 5 };
     constexpr std::size_t sizeForRemoval = 256;
 
-    BackendClients::Client makeClient(const std::string& address)
-    {
-        web::http::client::http_client_config configuration;
-        configuration.set_timeout(exchangeTimeout);
-        // The caller follows redirections; the client would repeat the request, whatever its method.
-        configuration.set_max_redirects(0);
-        return std::make_shared<web::http::client::http_client>(web::uri("http://" + address), configuration);
-    }
-
 }
 
 bool isResponseTo(const web::http::http_response& response, const RequestId& id)
@@ -35,12 +26,15 @@
         removeUnused(now);
     auto& entry = m_clients[address];
     if (!entry.client)
-        entry.client = makeClient(address);
+        entry.client = std::make_shared<StrictHttpClient>(address, ConnectionUse::Kept, exchangeTimeout);
     entry.lastUse = now;
     return entry.client;
 }
 
-BackendClients::Client BackendClients::fresh(const std::string& address) const { return makeClient(address); }
+BackendClients::Client BackendClients::fresh(const std::string& address) const
+{
+    return std::make_shared<StrictHttpClient>(address, ConnectionUse::Single, exchangeTimeout);
+}
 
 void BackendClients::removeUnused(std::chrono::steady_clock::time_point now)
 {
--- a/daemons/peridotd/src/BackendClients.h
+++ b/daemons/peridotd/src/BackendClients.h
@@ -1,10 +1,11 @@
-// HTTP clients towards backend servers: one with a connection pool per server, and single-use ones.
+// HTTP clients towards backend servers: one that keeps connections per server, and single-use ones.
 
 #pragma once
 
 #include "base/Ids.h"
+#include "rest/StrictHttpClient.h"
 
-#include <cpprest/http_client.h>
+#include <cpprest/http_msg.h>
 
 #include <chrono>
 #include <map>
@@ -20,14 +21,11 @@
 /** Thread-safe. */
 class BackendClients {
 public:
-    using Client = std::shared_ptr<web::http::client::http_client>;
+    using Client = std::shared_ptr<StrictHttpClient>;
 
-    /** The client whose pool of connections to @p address is shared. */
+    /** The client whose connections to @p address are kept. A request may be sent twice there. */
     Client pooled(const std::string& address);
-    /**
-     * A client that opens a connection of its own. cpprestsdk sends a request again if a pooled connection turns out to
-     * be closed, even after the server has read the request; on a first connection it does not.
-     */
+    /** A client that opens a connection of its own and sends the request once. */
     Client fresh(const std::string& address) const;
 
 private:
--- a/daemons/peridotd/src/BackendProbe.cpp
+++ b/daemons/peridotd/src/BackendProbe.cpp
@@ -1,7 +1,6 @@
 #include "BackendProbe.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <cpprest/http_client.h>
 #include <nlohmann/json.hpp>
 #include <pplx/threadpool.h>
 
--- a/daemons/peridotd/src/ForwardedRequest.cpp
+++ b/daemons/peridotd/src/ForwardedRequest.cpp
@@ -5,7 +5,6 @@
 
 #include "base/LogLine.h"
 
-#include <cpprest/http_client.h>
 #include <cpprest/rawptrstream.h>
 
 #include <algorithm>
@@ -349,7 +348,6 @@
         std::rethrow_exception(error);
     } catch (const http::http_exception& exception) {
         logBroken(exception.what());
-        // cpprestsdk reports a refused connection under this code.
         if (exception.error_code() == std::errc::host_unreachable)
             return DispatchOutcomeKind::NotSent;
         return exception.error_code() == std::errc::timed_out ? DispatchOutcomeKind::TimedOut
--- a/daemons/peridotd/src/Registration.cpp
+++ b/daemons/peridotd/src/Registration.cpp
@@ -1,10 +1,9 @@
 #include "Registration.h"
 
+#include "rest/StrictHttpClient.h"
 #include "store/HttpStoreClient.h"
 #include "store/StoreJson.h"
 
-#include <cpprest/http_client.h>
-
 #include <future>
 
 namespace peridot {
@@ -66,9 +65,7 @@
     instance.peerAddress = m_node.self.peerAddress;
     instance.state = state;
     try {
-        http::client::http_client_config configuration;
-        configuration.set_timeout(callTimeout);
-        http::client::http_client client(web::uri("http://" + m_platformAddress), configuration);
+        const StrictHttpClient client(m_platformAddress, ConnectionUse::Single, callTimeout);
         http::http_request request(http::methods::PUT);
         request.set_request_uri(web::uri("/v1/instances/" + web::uri::encode_data_string(instance.name)));
         request.set_body(encodePlatformInstance(instance).dump(), "application/json");
--- a/daemons/peridotd/tests/DaemonTest.cpp
+++ b/daemons/peridotd/tests/DaemonTest.cpp
@@ -2,6 +2,7 @@
 
 #include "LoopbackDeployment.h"
 
+#include "support/BrokenHeads.h"
 #include "support/CutResponses.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -17,6 +18,8 @@
     CPPUNIT_TEST(keysStayAtTheInstance);
     CPPUNIT_TEST(incompleteResponsesAreNoSuccess);
     CPPUNIT_TEST(responseCutAtAnyByteIsNoSuccess);
+    CPPUNIT_TEST(brokenHeadIsNoAnswer);
+    CPPUNIT_TEST(soundHeadIsPassedOnAsItIs);
     CPPUNIT_TEST(longResponseWithoutItsLastChunkIsNotWhole);
     CPPUNIT_TEST(responseWithUnknownTransferCodingIsNoSuccess);
     CPPUNIT_TEST(responseOfAnotherRequestIsNotDelivered);
@@ -56,7 +59,7 @@
         CPPUNIT_ASSERT(received.find("/shop/items/keys?page=2") != std::string::npos);
         CPPUNIT_ASSERT(received.find("text/plain") != std::string::npos);
         // The backend server is told the workspace of the key, not what the caller claims.
-        CPPUNIT_ASSERT(received.find("X-Workspace:korzo") != std::string::npos);
+        CPPUNIT_ASSERT(received.find("X-Workspace: korzo") != std::string::npos);
         CPPUNIT_ASSERT(received.find("forged") == std::string::npos);
         CPPUNIT_ASSERT(received.find("a-secret") == std::string::npos);
         assertRefused(all.get("/shop/items/" + callerKey), "400", "key_in_path");
@@ -94,6 +97,41 @@
         }
     }
 
+    // A status that no server may send reached callers, as did lines whose field has no valid name.
+    void brokenHeadIsNoAnswer()
+    {
+        const auto& all = deployment();
+        const auto heads = brokenHeads("X-Id: 1\r\n");
+        for (std::size_t i = 0; i < heads.size(); ++i) {
+            for (const std::string kind : { "head-", "parted-head-" }) {
+                const auto description = heads[i].description(kind != "head-");
+                const auto order = "/shop/orders/" + kind + std::to_string(i);
+                const auto response = all.post(order, "Content-Length: 1\r\n", "x");
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(description, 1, all.backend.runs(order));
+                CPPUNIT_ASSERT_MESSAGE(description + "\n" + response, response.rfind("HTTP/1.1 502", 0) == 0);
+                assertRefused(response, "502", "backend_failed", "unknown");
+                // A request that may be repeated gets an error as well, because there is no second server.
+                const auto answer = all.get("/shop/items/" + kind + std::to_string(i));
+                CPPUNIT_ASSERT_MESSAGE(description + "\n" + answer, answer.rfind("HTTP/1.1 50", 0) == 0);
+                CPPUNIT_ASSERT_MESSAGE(description + "\n" + answer, answer.find("X-Id") == std::string::npos);
+            }
+        }
+    }
+
+    void soundHeadIsPassedOnAsItIs()
+    {
+        const auto& all = deployment();
+        const auto heads = soundHeads("X-Id: 1\r\n");
+        for (std::size_t i = 0; i < heads.size(); ++i) {
+            const auto response = all.post("/shop/orders/sound-" + std::to_string(i), "Content-Length: 1\r\n", "x");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                heads[i].bytes, "HTTP/1.1 " + std::to_string(heads[i].status) + " ", response.substr(0, 13));
+            CPPUNIT_ASSERT_MESSAGE(response, response.find("\r\n" + heads[i].field + "\r\n") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(response, response.find("\r\nX-Id: 1\r\n") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("\r\n\r\none, two"));
+        }
+    }
+
     // The status has been sent when a long response turns out to have no end; the caller must not get one either.
     void longResponseWithoutItsLastChunkIsNotWhole()
     {
--- a/daemons/peridotd/tests/LoopbackBackend.cpp
+++ b/daemons/peridotd/tests/LoopbackBackend.cpp
@@ -1,5 +1,6 @@
 #include "LoopbackBackend.h"
 
+#include "support/BrokenHeads.h"
 #include "support/CutResponses.h"
 
 #include <arpa/inet.h>
@@ -15,6 +16,9 @@
 
 namespace {
 
+    // Time after which the reader has probably taken the first part of a response.
+    constexpr std::chrono::milliseconds pauseInResponse { 2 };
+
     sockaddr_in loopback(std::uint16_t port)
     {
         sockaddr_in address {};
@@ -37,7 +41,7 @@
 
     std::string headerValue(const std::string& request, const std::string& name)
     {
-        // cpprestsdk writes no space after the colon.
+        // Clients write one space behind the colon, or none.
         const auto start = request.find("\r\n" + name + ":");
         if (start == std::string::npos)
             return "";
@@ -202,6 +206,17 @@
         if (cut.end == BreakOff::Reset)
             reset(descriptor);
         return false;
+    } else if (kind.starts_with("head-") || kind.starts_with("parted-head-")) {
+        static const auto heads = brokenHeads("X-Id: 1\r\n");
+        const auto& broken = heads.at(std::stoul(kind.substr(kind.rfind('-') + 1)));
+        const auto cut = kind.starts_with("parted-") ? broken.cut : 0;
+        sendAll(descriptor, broken.bytes.substr(0, cut));
+        if (cut > 0)
+            std::this_thread::sleep_for(pauseInResponse);
+        sendAll(descriptor, broken.bytes.substr(cut));
+    } else if (kind.starts_with("sound-")) {
+        static const auto heads = soundHeads("X-Id: 1\r\n");
+        sendAll(descriptor, heads.at(std::stoul(kind.substr(6))).bytes);
     } else if (kind.starts_with("coding-")) {
         const auto coding = unknownCodings.at(std::stoul(kind.substr(7)));
         sendAll(descriptor,
--- a/daemons/peridotd/tests/LoopbackBackend.h
+++ b/daemons/peridotd/tests/LoopbackBackend.h
@@ -25,7 +25,8 @@
 /**
  * Answers by the path's last segment: "close" reads the request and closes the connection, "truncated" sends half of
  * the announced body, "long-truncated" does so with 1 MB, "long-chunks-truncated" sends 500 kB without the last chunk,
- * "cut-N" sends the Nth of cutResponses(), "coding-N" a response with the Nth of unknownCodings, "other" answers with
+ * "cut-N" sends the Nth of cutResponses(), "head-N" the Nth of brokenHeads(), "parted-head-N" does so in two parts,
+ * "sound-N" the Nth of soundHeads(), "coding-N" a response with the Nth of unknownCodings, "other" answers with
  * another request's id, "unframed" sends a body without length, "late-refusal" sends a refusal without an id before the
  * response, "twice" sends the response once more 50 ms later, "slow" answers after two seconds; anything else is
  * answered with "done".
--- a/libs/http/include/http/ResponseParser.h
+++ b/libs/http/include/http/ResponseParser.h
@@ -19,6 +19,12 @@
 
 namespace peridot {
 
+// Bytes that the parser leaves are the start of a header, a chunk header or a trailer. Beast limits the size of headers
+// only.
+inline constexpr std::size_t unparsedResponseBytes = 65'536;
+// A server that sends more responses to other requests, or more informational ones, is faulty.
+inline constexpr unsigned maximumSkippedResponses = 16;
+
 using ResponseHeader = boost::beast::http::response_header<HttpFields>;
 
 /** What makes a head with valid lines unacceptable; nothing if it is sound. */
@@ -29,14 +35,11 @@
 public:
     using Parser = boost::beast::http::response_parser<Body>;
 
-    /** Limits are in bytes; without @p bodyLimit a body has any length. A response to HEAD has no body. */
-    ResponseParser(std::uint32_t headerLimit, std::optional<std::uint64_t> bodyLimit, bool isToHead)
+    /** @p bodyLimit is in bytes. A response to HEAD has no body. */
+    ResponseParser(std::uint64_t bodyLimit, bool isToHead)
     {
         m_parser.header_limit(headerLimit);
-        if (bodyLimit)
-            m_parser.body_limit(*bodyLimit);
-        else
-            m_parser.body_limit(boost::none);
+        m_parser.body_limit(bodyLimit);
         m_parser.skip(isToHead);
         m_parser.on_chunk_header(m_onChunkHeader);
     }
@@ -85,6 +88,7 @@
     typename Parser::value_type release() { return m_parser.release(); }
 
 private:
+    static constexpr std::uint32_t headerLimit = 32'768; // Bytes; twice what callers may send by default.
     static constexpr std::string_view foldedLine = "a line that begins with whitespace";
 
     static std::string_view textOf(boost::asio::const_buffer input)
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -20,12 +20,6 @@
 namespace {
 
     constexpr std::size_t readSize = 16'384;
-    constexpr std::uint32_t responseHeaderBytes = 32'768; // Twice what callers may send by default.
-    // Bytes that the parser leaves in the buffer are the start of a header, a chunk header or a trailer. The parser
-    // limits the size of headers only.
-    constexpr std::size_t unparsedBytes = 65'536;
-    // A server that sends more responses to other requests, or more informational ones, is faulty.
-    constexpr unsigned maximumSkippedResponses = 16;
     constexpr auto noRoomMessage = "the response exceeds the memory for messages";
     // Bounds the memory of a connection, at one new connection for so many refusals.
     constexpr std::size_t maximumRefusals = 128;
@@ -133,7 +127,7 @@
 void ClientConnection::resetParser()
 {
     const bool isToHead = m_request && m_request->method() == http::verb::head;
-    m_parser = std::make_unique<Parser>(responseHeaderBytes, m_options.responseBytes, isToHead);
+    m_parser = std::make_unique<Parser>(m_options.responseBytes, isToHead);
 }
 
 void ClientConnection::connect()
@@ -283,7 +277,7 @@
             }
         }
         if (!m_parser->isDone()) {
-            if (m_buffer.size() > unparsedBytes)
+            if (m_buffer.size() > unparsedResponseBytes)
                 fail("malformed response: a header or chunk header without an end", true);
             else if (!claimBytes())
                 fail(noRoomMessage, true);
--- a/libs/store/include/store/HttpStoreClient.h
+++ b/libs/store/include/store/HttpStoreClient.h
@@ -1,4 +1,4 @@
-// Client of the platform's HTTP interface (docs/stand-ins.md), built on cpprestsdk.
+// Client of the platform's HTTP interface (docs/stand-ins.md), over StrictHttpClient.
 
 #pragma once
 
@@ -19,8 +19,8 @@
 /**
  * Sends store requests asynchronously. Thread-safe.
  *
- * A commit or object write travels on a connection of its own: cpprestsdk sends a request again if a pooled connection
- * turns out to be closed, and a commit that is sent twice would be reported as refused although it took effect.
+ * A commit or object write travels on a connection of its own: a request on a kept connection may be sent twice, and a
+ * commit that is sent twice would be reported as refused although it took effect.
  */
 class HttpStoreClient {
 public:
--- a/libs/store/src/HttpStoreClient.cpp
+++ b/libs/store/src/HttpStoreClient.cpp
@@ -2,10 +2,10 @@
 
 #include "store/HttpStoreClient.h"
 
+#include "rest/StrictHttpClient.h"
 #include "store/StoreJson.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <cpprest/http_client.h>
 #include <pplx/threadpool.h>
 
 #include <atomic>
@@ -20,8 +20,8 @@
 
     namespace http = web::http;
 
-    // Bounds each phase of an exchange inside cpprestsdk. The timer of a call ends it earlier; this one only guarantees
-    // that the connection is given up if cancellation should fail.
+    // The timer of a call ends its exchange earlier; this one only guarantees that the connection is given up if
+    // cancellation should fail.
     constexpr auto exchangeTimeout = std::chrono::seconds { 60 };
 
     bool isWrite(const StoreRequest& request) noexcept
@@ -29,19 +29,8 @@
         return std::holds_alternative<TableCommit>(request) || std::holds_alternative<ObjectPut>(request);
     }
 
-    http::client::http_client_config clientConfiguration()
-    {
-        http::client::http_client_config configuration;
-        configuration.set_timeout(exchangeTimeout);
-        return configuration;
-    }
-
-    // cpprestsdk reports a failed connect, and a connection that was closed before the request's headers were written,
-    // as host_unreachable. The platform runs a request only after it has read the whole body.
-    bool tookNoEffect(const http::http_exception& error)
-    {
-        return error.error_code() == std::errc::host_unreachable || error.error_code() == std::errc::connection_refused;
-    }
+    /** Without a connection nothing was sent. */
+    bool tookNoEffect(const http::http_exception& error) { return error.error_code() == std::errc::host_unreachable; }
 
     /** One open call. Its callback is taken by the answer or by the timer, whichever comes first. */
     class StoreCallState {
@@ -106,7 +95,8 @@
 public:
     explicit Implementation(HttpStoreClientSettings settings)
         : m_settings(std::move(settings))
-        , m_reads(makeClient())
+        , m_reads(m_settings.address, ConnectionUse::Kept, exchangeTimeout)
+        , m_writes(m_settings.address, ConnectionUse::Single, exchangeTimeout)
     {
     }
 
@@ -114,16 +104,14 @@
     void close();
 
 private:
-    using ClientPointer = std::shared_ptr<http::client::http_client>;
-
-    ClientPointer makeClient() const;
     http::http_request makeRequest(const StoreRequest&) const;
     void startTimer(const StoreCallPointer&, Duration timeout);
     void exchange(const StoreCallPointer&, const http::http_request&);
     void complete(const StoreCallPointer&, StoreResult);
 
     const HttpStoreClientSettings m_settings;
-    const ClientPointer m_reads;
+    const StrictHttpClient m_reads;
+    const StrictHttpClient m_writes;
 
     std::mutex m_mutex;
     std::condition_variable m_idle;
@@ -131,11 +119,6 @@
     bool m_isClosed = false; // Guarded by m_mutex.
 };
 
-HttpStoreClient::Implementation::ClientPointer HttpStoreClient::Implementation::makeClient() const
-{
-    return std::make_shared<http::client::http_client>("http://" + m_settings.address, clientConfiguration());
-}
-
 http::http_request HttpStoreClient::Implementation::makeRequest(const StoreRequest& request) const
 {
     http::http_request message(http::methods::POST);
@@ -143,8 +126,6 @@
     message.set_body(encodeStoreRequest(request), "application/json");
     if (!m_settings.caller.empty())
         message.headers().add("X-Caller", m_settings.caller);
-    if (isWrite(request))
-        message.headers().add("Connection", "close");
     return message;
 }
 
@@ -179,20 +160,18 @@
 
 void HttpStoreClient::Implementation::exchange(const StoreCallPointer& state, const http::http_request& message)
 {
-    // Each http_client has its own connection pool, so a new one opens a new connection. A header "Connection: close"
-    // would not do: cpprestsdk keeps the connection unless the response carries that header too.
-    const auto client = state->isWrite() ? makeClient() : m_reads;
+    const auto& client = state->isWrite() ? m_writes : m_reads;
     struct Answer {
         http::status_code status = 0;
         std::string body;
     };
-    client->request(message, state->token())
+    client.request(message, state->token())
         .then([](const http::http_response& response) {
             return response.extract_utf8string(true).then([status = response.status_code()](std::string body) {
                 return Answer { status, std::move(body) };
             });
         })
-        .then([self = shared_from_this(), state, client](const pplx::task<Answer>& task) {
+        .then([self = shared_from_this(), state](const pplx::task<Answer>& task) {
             StoreResult result = state->missingAnswer("the exchange was cancelled");
             try {
                 const auto answer = task.get();
--- a/tools/peridot-load/HttpClients.cpp
+++ b/tools/peridot-load/HttpClients.cpp
@@ -2,8 +2,9 @@
 
 #include "HttpClients.h"
 
+#include "rest/StrictHttpClient.h"
+
 #include <boost/asio/steady_timer.hpp>
-#include <cpprest/http_client.h>
 #include <pplx/threadpool.h>
 
 #include <algorithm>
@@ -16,16 +17,14 @@
 namespace {
 
     namespace http = web::http;
-    using ClientPointer = std::shared_ptr<http::client::http_client>;
+    using ClientPointer = std::shared_ptr<StrictHttpClient>;
 
-    // Bounds each phase of an exchange; the timer of the exchange ends it earlier.
-    constexpr auto phaseTimeout = std::chrono::seconds { 60 };
+    // The timer of an exchange ends it earlier.
+    constexpr auto exchangeTimeout = std::chrono::seconds { 60 };
 
-    ClientPointer makeClient(const std::string& address)
+    ClientPointer makeClient(const std::string& address, ConnectionUse use)
     {
-        http::client::http_client_config configuration;
-        configuration.set_timeout(phaseTimeout);
-        return std::make_shared<http::client::http_client>("http://" + address, configuration);
+        return std::make_shared<StrictHttpClient>(address, use, exchangeTimeout);
     }
 
     ClientPointer pooledClient(const std::string& address)
@@ -35,7 +34,7 @@
         std::lock_guard lock(mutex);
         auto& client = clients[address];
         if (!client)
-            client = makeClient(address);
+            client = makeClient(address, ConnectionUse::Kept);
         return client;
     }
 
@@ -95,7 +94,7 @@
             cancellation.cancel();
     });
     try {
-        const auto client = exchange.mayRunTwice ? pooledClient(address) : makeClient(address);
+        const auto client = exchange.mayRunTwice ? pooledClient(address) : makeClient(address, ConnectionUse::Single);
         client->request(makeRequest(exchange), cancellation.get_token())
             .then([](const http::http_response& response) {
                 auto outcome = readHead(response);
--- a/tools/peridot-load/HttpClients.h
+++ b/tools/peridot-load/HttpClients.h
@@ -1,4 +1,4 @@
-// HTTP exchanges over cpprestsdk's client, with pooled connections per address.
+// HTTP exchanges over StrictHttpClient, with kept connections per address.
 
 #pragma once
 
@@ -15,8 +15,7 @@
     std::string target; // Path and query.
     std::map<std::string, std::string> headers;
     std::string body;
-    // cpprestsdk sends a request again if a pooled connection turns out to be closed. Only requests that may run twice
-    // travel on pooled connections.
+    // Only requests that may run twice travel on kept connections, on which they may be sent twice.
     bool mayRunTwice = false;
     Duration timeout { 0 };
 };
