http: check the heads that the response fuzzer gets

A response that was taken must have a status that servers may send and fields whose names are tokens; the check doesn't use the parser's own.

--- a/libs/http/fuzz/ResponseFuzzer.cpp
+++ b/libs/http/fuzz/ResponseFuzzer.cpp
@@ -1,5 +1,6 @@
 // Feeds bytes to a connection to a server as the answer to a request, once whole and once in two parts. The request
-// ends exactly once, and the cut must not decide whether the caller gets a response.
+// ends exactly once, and the cut must not decide whether the caller gets a response. What the caller gets is checked
+// without the parser's help: a status that servers may send, and fields whose names are tokens.
 
 #include "SplitInput.h"
 
@@ -27,6 +28,28 @@
         bool operator==(const Outcome&) const = default;
     };
 
+    bool isToken(std::string_view name)
+    {
+        return !name.empty()
+            && name.find_first_not_of("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                      "abcdefghijklmnopqrstuvwxyz")
+            == std::string_view::npos;
+    }
+
+    void checkHead(const HttpResponse& response)
+    {
+        bool isSound = response.result_int() >= 200 && response.result_int() <= 599;
+        for (const auto& field : response) {
+            const std::string_view value(field.value().data(), field.value().size());
+            isSound = isSound && isToken({ field.name_string().data(), field.name_string().size() })
+                && value.find_first_of(std::string_view("\r\n\0", 3)) == std::string_view::npos;
+        }
+        if (!isSound) {
+            std::fprintf(stderr, "a response with a head that no server may send was taken\n");
+            std::abort();
+        }
+    }
+
     Outcome receive(std::string_view bytes, std::size_t cut, bool isHead)
     {
         asio::io_context context;
@@ -41,6 +64,7 @@
             ++ends;
             outcome.isResponse = result.has_value();
             if (result) {
+                checkHead(*result);
                 outcome.status = result->result_int();
                 outcome.body = result->body();
             }
