http: refuse an upgrade that no request asked for

What callers saw: bytes behind a response with status 101 as their answer.

Cause: a response with status 101 ends HTTP on its connection. It counted as informational, so that the bytes behind it, of whatever protocol, were read as the final response. No request asks for an upgrade: the headers of callers that concern one connection are removed.

Evidence: brokenHeads() holds 101 before a sound response, first and behind an informational response. BrokenResponseTest and the brokenHead cases of BrokenExchangeTest got that response before this change.

Why it works: ResponseParser refuses the head, for both programs; 100, 102 and 103 are skipped as before (soundHeads()).

--- a/libs/http/src/ResponseParser.cpp
+++ b/libs/http/src/ResponseParser.cpp
@@ -22,6 +22,8 @@
     // RFC 9110, section 15. Beast takes any three digits.
     if (header.result_int() < 100 || header.result_int() > 599)
         return "status code " + std::to_string(header.result_int());
+    if (header.result() == http::status::switching_protocols)
+        return "an upgrade that was not asked for";
     if (hasUnknownCoding(header))
         return "unknown transfer coding";
     return std::nullopt;
--- a/tests/support/BrokenHeads.h
+++ b/tests/support/BrokenHeads.h
@@ -67,6 +67,10 @@
         add("trailer", chunks, line, "\r\n");
         add("trailer behind another field", chunks + "X-Trailer: t\r\n", line, "\r\n");
     }
+    // RFC 9110, section 15.2.2: only a request that asks for an upgrade gets one. What follows is not HTTP.
+    const std::string upgrade = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n";
+    add("upgrade", "", upgrade, final);
+    add("upgrade behind an informational response", hints + "\r\n", upgrade, final);
     // Two parsers would find different ends of the body.
     for (const std::string name : { "Content-Length ", " Content-Length", "Content\1Length", "Content-Length\t" }) {
         const auto line = name + ": 3\r\n";
