--- a/libs/rest/include/rest/StrictHttpClient.h
+++ b/libs/rest/include/rest/StrictHttpClient.h
@@ -6,6 +6,7 @@
 
 #include "base/Time.h"
 
+#include <boost/asio/ssl/context.hpp>
 #include <cpprest/http_msg.h>
 #include <pplx/pplxtasks.h>
 
@@ -26,6 +27,9 @@
 public:
     /** @p address is host:port. @p timeout bounds the time of an exchange, with the body of the response. */
     StrictHttpClient(const std::string& address, ConnectionUse, Duration timeout);
+    /** Uses TLS, on single connections. The certificate has to name the host. */
+    StrictHttpClient(
+        const std::string& address, std::shared_ptr<boost::asio::ssl::context> tlsContext, Duration timeout);
 
     /** Returns the response once its head has arrived; its body follows in the stream. Errors are http_exceptions, of
      *  the task or of the stream. The code is host_unreachable only if no connection could be opened, so that nothing
--- a/libs/rest/src/StrictHttpClient.cpp
+++ b/libs/rest/src/StrictHttpClient.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/host_name_verification.hpp>
+#include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
@@ -83,11 +85,12 @@
 /** The address of a server and the connections that are kept to it. */
 class StrictHttpClient::Server {
 public:
-    Server(const std::string& address, ConnectionUse use)
+    Server(const std::string& address, ConnectionUse use, std::shared_ptr<asio::ssl::context> tlsContext)
         : address(address)
         , host(address.substr(0, address.rfind(':')))
         , port(address.substr(address.rfind(':') + 1))
         , use(use)
+        , tlsContext(std::move(tlsContext))
     {
     }
 
@@ -115,6 +118,7 @@
     const std::string host;
     const std::string port;
     const ConnectionUse use;
+    const std::shared_ptr<asio::ssl::context> tlsContext; // Empty: connections are plain.
 
 private:
     std::mutex m_mutex;
@@ -304,20 +308,51 @@
                     }
                     error_code ignored; // Without the option the connection only is slower.
                     m_socket.set_option(tcp::no_delay(true), ignored);
-                    write();
+                    if (m_server->tlsContext)
+                        startTls();
+                    else
+                        write();
                 }));
             }));
     }
 
+    void startTls()
+    {
+        m_tls.emplace(m_socket, *m_server->tlsContext);
+        // Servers with one certificate need no name.
+        static_cast<void>(SSL_set_tlsext_host_name(m_tls->native_handle(), m_server->host.c_str()));
+        error_code ignored; // Setting a mode and a callback doesn't fail.
+        m_tls->set_verify_mode(asio::ssl::verify_peer, ignored);
+        m_tls->set_verify_callback(asio::ssl::host_name_verification(m_server->host), ignored);
+        m_tls->async_handshake(asio::ssl::stream_base::client, handler([this](const error_code& ec) {
+            if (ec)
+                fail("the TLS handshake failed: " + ec.message(), std::errc::host_unreachable);
+            else
+                write();
+        }));
+    }
+
+    /** Calls @p use with the stream over which messages are sent. */
+    template <typename Use> void withStream(Use use)
+    {
+        if (m_tls)
+            use(*m_tls);
+        else
+            use(m_socket);
+    }
+
     void write()
     {
         resetParser();
         m_isWriting = true;
         const std::array<asio::const_buffer, 2> buffers { asio::buffer(m_head), asio::buffer(m_content) };
-        asio::async_write(m_socket, buffers, handler([this, isReused = m_isReused](const error_code& ec, std::size_t) {
-            if (isReused == m_isReused) // Otherwise the request is sent once more.
-                onWritten(ec);
-        }));
+        withStream([&](auto& stream) {
+            asio::async_write(
+                stream, buffers, handler([this, isReused = m_isReused](const error_code& ec, std::size_t) {
+                    if (isReused == m_isReused) // Otherwise the request is sent once more.
+                        onWritten(ec);
+                }));
+        });
         read();
     }
 
@@ -337,8 +372,10 @@
                 fail("the body of the request is shorter than announced", std::errc::connection_aborted);
                 return;
             }
-            asio::async_write(m_socket, asio::buffer(m_content),
-                handler([this](const error_code& writeEc, std::size_t) { onWritten(writeEc); }));
+            withStream([&](auto& stream) {
+                asio::async_write(stream, asio::buffer(m_content),
+                    handler([this](const error_code& writeEc, std::size_t) { onWritten(writeEc); }));
+            });
         });
     }
 
@@ -346,8 +383,10 @@
 
     void read()
     {
-        m_socket.async_read_some(m_buffer.prepare(pieceBytes),
-            handler([this](const error_code& ec, std::size_t size) { onRead(ec, size); }));
+        withStream([&](auto& stream) {
+            stream.async_read_some(m_buffer.prepare(pieceBytes),
+                handler([this](const error_code& ec, std::size_t size) { onRead(ec, size); }));
+        });
     }
 
     void onRead(const error_code& ec, std::size_t size)
@@ -472,6 +511,7 @@
     const Duration m_timeout;
     const asio::strand<asio::io_context::executor_type> m_strand;
     tcp::socket m_socket;
+    std::optional<asio::ssl::stream<tcp::socket&>> m_tls;
     tcp::resolver m_resolver;
     asio::steady_timer m_timer;
     pplx::task_completion_event<http_response> m_result;
@@ -497,7 +537,14 @@
 };
 
 StrictHttpClient::StrictHttpClient(const std::string& address, ConnectionUse use, Duration timeout)
-    : m_server(std::make_shared<Server>(address, use))
+    : m_server(std::make_shared<Server>(address, use, nullptr))
+    , m_timeout(timeout)
+{
+}
+
+StrictHttpClient::StrictHttpClient(
+    const std::string& address, std::shared_ptr<asio::ssl::context> tlsContext, Duration timeout)
+    : m_server(std::make_shared<Server>(address, ConnectionUse::Single, std::move(tlsContext)))
     , m_timeout(timeout)
 {
 }
--- a/tools/peridotctl/OperatorClient.cpp
+++ b/tools/peridotctl/OperatorClient.cpp
@@ -1,6 +1,6 @@
 #include "OperatorClient.h"
 
-#include <cpprest/http_client.h>
+#include "rest/StrictHttpClient.h"
 
 namespace peridot {
 
@@ -12,9 +12,25 @@
     constexpr std::chrono::seconds exchangeTimeout { 40 };
     constexpr int rounds = 2;
 
-    std::string urlOf(const std::string& address)
+    constexpr int plainPort = 80;
+    constexpr int tlsPort = 443;
+
+    /** The client of host:port or of a URL. */
+    StrictHttpClient clientOf(const std::string& address, const std::string& certificateAuthorityFile)
     {
-        return address.find("://") == std::string::npos ? "http://" + address : address;
+        const web::uri url(address.find("://") == std::string::npos ? "http://" + address : address);
+        const bool isTls = url.scheme() == "https";
+        if (!isTls && url.scheme() != "http")
+            throw std::invalid_argument("neither http nor https: " + address);
+        const auto port = url.port() > 0 ? url.port() : isTls ? tlsPort : plainPort;
+        const auto server = url.host() + ":" + std::to_string(port);
+        if (!isTls)
+            return { server, ConnectionUse::Single, exchangeTimeout };
+        auto context = std::make_shared<boost::asio::ssl::context>(boost::asio::ssl::context::tls_client);
+        context->set_default_verify_paths();
+        if (!certificateAuthorityFile.empty())
+            context->load_verify_file(certificateAuthorityFile);
+        return { server, std::move(context), exchangeTimeout };
     }
 
     /** Another instance may reach the store, or have decided about the request in question. */
@@ -63,14 +79,7 @@
     const std::string& path, const std::string& body, const std::string& changeId) const
 {
     try {
-        http::client::http_client_config configuration;
-        configuration.set_timeout(exchangeTimeout);
-        configuration.set_max_redirects(0);
-        if (!m_certificateAuthorityFile.empty()) {
-            configuration.set_ssl_context_callback(
-                [this](boost::asio::ssl::context& context) { context.load_verify_file(m_certificateAuthorityFile); });
-        }
-        http::client::http_client client(web::uri(urlOf(address)), configuration);
+        const auto client = clientOf(address, m_certificateAuthorityFile);
         http::http_request request(method);
         request.set_request_uri(web::uri("/v1/operator" + path));
         request.headers().add("Authorization", "Bearer " + m_operatorKey);
