load: judge malformed responses as wrong

A malformed response was a lost connection to the judge of peridot-load, if its client refused it, and such ends happen to sound systems as well. It is judged as wrong now, by what the client refuses and, apart from it, by the status. With the judge of before, noticesMalformedResponses fails on its first response, a refusal with status 1.

--- a/tools/peridot-load/HttpClients.cpp
+++ b/tools/peridot-load/HttpClients.cpp
@@ -38,7 +38,7 @@
         return client;
     }
 
-    http::http_request makeRequest(const HttpExchange& exchange)
+    http::http_request makeRequest(const HttpCall& exchange)
     {
         http::http_request request(exchange.method);
         request.set_request_uri(web::uri(exchange.target));
@@ -75,7 +75,9 @@
         try {
             return task.get();
         } catch (const http::http_exception& error) {
-            return failed(error.what(), error.error_code() != std::errc::host_unreachable);
+            auto outcome = failed(error.what(), error.error_code() != std::errc::host_unreachable);
+            outcome.isMalformed = error.error_code() == std::errc::bad_message;
+            return outcome;
         } catch (const std::exception& error) {
             return failed(error.what(), true);
         }
@@ -84,7 +86,7 @@
 }
 
 void sendHttp(
-    const std::string& address, const HttpExchange& exchange, const std::function<void(const HttpOutcome&)>& callback)
+    const std::string& address, const HttpCall& exchange, const std::function<void(const HttpOutcome&)>& callback)
 {
     const pplx::cancellation_token_source cancellation;
     auto timer = std::make_shared<boost::asio::steady_timer>(
--- a/tools/peridot-load/HttpClients.h
+++ b/tools/peridot-load/HttpClients.h
@@ -10,7 +10,7 @@
 
 namespace peridot {
 
-struct HttpExchange {
+struct HttpCall {
     std::string method;
     std::string target; // Path and query.
     std::map<std::string, std::string> headers;
@@ -25,11 +25,12 @@
     std::map<std::string, std::string> headers; // Names in lower case.
     std::string body;
     std::string error;
+    bool isMalformed = false; // Bytes came that are no response.
     bool isConnected = true; // False if no connection could be made, so that nothing was sent.
 };
 
 /** Calls back once, on a thread of cpprestsdk. */
-void sendHttp(const std::string& address, const HttpExchange&, const std::function<void(const HttpOutcome&)>& callback);
+void sendHttp(const std::string& address, const HttpCall&, const std::function<void(const HttpOutcome&)>& callback);
 
 /** Calls @p action after @p delay on a thread of cpprestsdk. */
 void callLater(Duration delay, std::function<void()> action);
--- a/tools/peridot-load/ResponseCheck.cpp
+++ b/tools/peridot-load/ResponseCheck.cpp
@@ -44,6 +44,9 @@
 Judgement judgeResponse(const HttpOutcome& response, const RequestKind& kind, const std::string& echo)
 {
     const auto whenLost = kind.isIdempotent ? Outcome::Failed : Outcome::Unknown;
+    // Whatever the client lets through (RFC 9110, section 15).
+    if (response.isMalformed || (response.status != 0 && (response.status < 200 || response.status > 599)))
+        return { Outcome::Wrong, "malformed" };
     if (response.status == 0) {
         if (!response.isConnected)
             return { Outcome::Failed, "not_connected" };
--- a/tools/peridot-load/WorkspaceCallers.cpp
+++ b/tools/peridot-load/WorkspaceCallers.cpp
@@ -143,7 +143,7 @@
 void WorkspaceCallers::send(const WorkPointer& work, const std::string& address)
 {
     const auto& kind = *work->kind;
-    HttpExchange exchange;
+    HttpCall exchange;
     exchange.method = kind.method;
     exchange.target = "/" + kind.service + kind.path + "?echo=" + work->echo();
     if (kind.responseBytes > 0)
--- a/tools/peridot-load/tests/LoadTest.cpp
+++ b/tools/peridot-load/tests/LoadTest.cpp
@@ -6,12 +6,17 @@
 #include "ReferenceBucket.h"
 #include "ResponseCheck.h"
 #include "RunAudit.h"
+#include "HttpClients.h"
 #include "program/CheckedBody.h"
+#include "support/BrokenHeads.h"
+#include "support/CutResponses.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
 
+#include <future>
+
 using namespace peridot;
 using namespace std::chrono_literals;
 
@@ -19,6 +24,8 @@
     CPPUNIT_TEST_SUITE(LoadTest);
     CPPUNIT_TEST(acceptsWholeOwnResponse);
     CPPUNIT_TEST(noticesDamagedAndForeignResponses);
+    CPPUNIT_TEST(noticesMalformedResponses);
+    CPPUNIT_TEST(clientNoticesMalformedResponses);
     CPPUNIT_TEST(acceptsReplayWithoutChecksumHeader);
     CPPUNIT_TEST(tellsRefusalsFromUnknownOutcomes);
     CPPUNIT_TEST(referenceBucketFollowsRateAndBurst);
@@ -50,6 +57,20 @@
         return outcome;
     }
 
+    /** Sends a request to a server that answers with these bytes and closes the connection. */
+    static HttpOutcome exchangeWith(const std::string& bytes)
+    {
+        boost::asio::io_context context;
+        RawServer server(context, [&](const std::string&) { return RawServer::Answer { bytes, BreakOff::Close }; });
+        std::promise<HttpOutcome> ended;
+        auto outcome = ended.get_future();
+        sendHttp(
+            server.address(), { "GET", "/", {}, "", false, 10s }, [&](const HttpOutcome& it) { ended.set_value(it); });
+        while (outcome.wait_for(0s) != std::future_status::ready)
+            context.run_one_for(1ms);
+        return outcome.get();
+    }
+
     static HttpOutcome refusal(int status, const std::string& body)
     {
         HttpOutcome outcome;
@@ -97,6 +118,34 @@
         CPPUNIT_ASSERT(judgeResponse(replay, keyed, "e1").outcome == Outcome::Wrong);
     }
 
+    /** A malformed response counted as a lost connection, which may happen to a sound system. */
+    void noticesMalformedResponses()
+    {
+        const std::string notRun = R"({"code":"rate_exceeded","run":"not_run"})";
+        for (const int status : { 1, 99, 100, 199, 600, 999 }) {
+            CPPUNIT_ASSERT(judgeResponse(refusal(status, notRun), kind(true), "").outcome == Outcome::Wrong);
+            CPPUNIT_ASSERT_EQUAL(std::string("malformed"), judgeResponse(refusal(status, ""), kind(true), "").code);
+        }
+        for (const bool isIdempotent : { true, false }) {
+            HttpOutcome malformed;
+            malformed.error = "malformed response: status code 0";
+            malformed.isMalformed = true;
+            CPPUNIT_ASSERT(judgeResponse(malformed, kind(isIdempotent), "").outcome == Outcome::Wrong);
+        }
+    }
+
+    /** The client must tell a malformed response from a connection that ended. */
+    void clientNoticesMalformedResponses()
+    {
+        for (const auto& broken : brokenHeads("X-Content-Checksum: 1\r\n")) {
+            const auto outcome = exchangeWith(broken.bytes);
+            CPPUNIT_ASSERT_MESSAGE(broken.description(false) + outcome.error, outcome.isMalformed);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.description(false), 0, outcome.status);
+        }
+        CPPUNIT_ASSERT(!exchangeWith("").isMalformed);
+        CPPUNIT_ASSERT_EQUAL(204, exchangeWith("HTTP/1.1 204 No Content\r\n\r\n").status);
+    }
+
     void tellsRefusalsFromUnknownOutcomes()
     {
         const auto notRun = refusal(429, R"({"code":"rate_exceeded","run":"not_run"})");
