--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -49,6 +49,7 @@
     bool wasSent = false; // Bytes of the request may have reached the server.
     bool wasOpenedLate = false; // The connection opened, but this process found it too late to send the request.
     bool isMalformed = false; // The server answered with bytes that are no acceptable response.
+    bool isCut = false; // They are not, because the connection ended within the response.
     bool wasReused = false; // The connection had served a request before.
     Duration idleTime { 0 }; // How long the connection had been idle before this request.
     std::string message;
@@ -167,6 +168,7 @@
     std::vector<std::size_t> m_refused; // Hashes of the ids of refused requests.
     bool m_isOverdue = false; // awaitsArrivedInput() was called during the current exchange.
     bool m_hasReadOverdue = false; // All that had arrived at a time after that call was read.
+    bool m_isCut = false; // The connection ended within the response to the current request.
     unsigned m_skippedResponses = 0; // Responses of the current exchange that answered other requests.
     bool m_wasSent = false;
     bool m_isWriting = false;
--- a/libs/http/include/http/ResponseParser.h
+++ b/libs/http/include/http/ResponseParser.h
@@ -72,13 +72,13 @@
         return parsed;
     }
 
-    /** Ends the response with its connection. Returns why it is not whole. */
-    std::optional<std::string> putEnd()
+    /** The connection has ended. Returns false if it did so within the response. */
+    bool putEnd()
     {
         boost::system::error_code ec;
         if (!m_parser.is_done() && m_parser.got_some())
             m_parser.put_eof(ec);
-        return ec ? std::optional(ec.message()) : std::nullopt;
+        return !ec;
     }
 
     bool isHeaderDone() const { return m_parser.is_header_done(); }
--- a/libs/http/tests/BrokenResponseTest.cpp
+++ b/libs/http/tests/BrokenResponseTest.cpp
@@ -132,6 +132,8 @@
                 breakOff(request.server, cut.end);
                 CPPUNIT_ASSERT_MESSAGE(cut.description(), !request.isWhole());
                 CPPUNIT_ASSERT_MESSAGE(cut.description(), request.result->error().wasSent);
+                const bool hasBegun = cut.end == BreakOff::Close && !cut.bytes.empty();
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(cut.description(), hasBegun, request.result->error().isCut);
             }
         }
     }
@@ -224,6 +226,7 @@
                 const auto description = broken.description(isCut);
                 CPPUNIT_ASSERT_MESSAGE(description, !request.isWhole());
                 CPPUNIT_ASSERT_MESSAGE(description, request.result->error().isMalformed);
+                CPPUNIT_ASSERT_MESSAGE(description, !request.result->error().isCut);
                 CPPUNIT_ASSERT_MESSAGE(description, request.result->error().wasSent);
             }
         }
