--- a/libs/rest/src/StrictHttpClient.cpp
+++ b/libs/rest/src/StrictHttpClient.cpp
@@ -125,9 +125,11 @@
 
     void keep(tcp::socket socket)
     {
+        const auto now = steadyNow();
         const std::lock_guard lock(m_mutex);
+        std::erase_if(m_kept, [now](const auto& it) { return now - it.second > keptTime; });
         if (m_kept.size() < keptConnections)
-            m_kept.emplace_back(std::move(socket), steadyNow());
+            m_kept.emplace_back(std::move(socket), now);
     }
 
     const std::string address;
@@ -446,11 +448,9 @@
                 }
                 m_buffer.consume(*parsed);
             }
-            if (isAtEnd) {
-                if (!m_parser->putEnd()) {
-                    fail("the connection ended within the response", std::errc::connection_aborted);
-                    return;
-                }
+            if (isAtEnd && !m_parser->putEnd()) {
+                fail("the connection ended within the response", std::errc::connection_aborted);
+                return;
             }
             if (m_parser->isHeaderDone() && !isInformational())
                 passOn();
