--- a/libs/rest/tests/StrictHttpClientTest.cpp
+++ b/libs/rest/tests/StrictHttpClientTest.cpp
@@ -9,9 +9,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <atomic>
 #include <optional>
-#include <thread>
 
 using namespace peridot;
 using namespace std::chrono_literals;
@@ -22,34 +20,6 @@
 constexpr Duration patience = 60s; // Long enough for any loaded machine; no test waits for it to pass.
 const std::string wholeResponse = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
 
-/** A server that answers in a thread of its own. */
-class ThreadedServer {
-public:
-    /** @p answer gets the number of the request, from 1 on. */
-    explicit ThreadedServer(const std::function<RawServer::Answer(int)>& answer)
-        : m_server(m_context, [this, answer](const std::string&) { return answer(++m_requests); })
-        , m_address(m_server.address())
-        , m_thread([this] { m_context.run(); })
-    {
-    }
-
-    ~ThreadedServer()
-    {
-        m_context.stop();
-        m_thread.join();
-    }
-
-    const std::string& address() const noexcept { return m_address; }
-    int requests() const noexcept { return m_requests; }
-
-private:
-    std::atomic<int> m_requests = 0;
-    boost::asio::io_context m_context;
-    RawServer m_server;
-    const std::string m_address;
-    std::thread m_thread;
-};
-
 struct Outcome {
     std::optional<web::http::http_response> response;
     std::string body;
--- a/tests/support/CutResponses.h
+++ b/tests/support/CutResponses.h
@@ -1,4 +1,4 @@
-// Responses that a server breaks off, and a server that sends raw bytes, for the tests of each way to the caller.
+// Responses that a server breaks off, and servers that send raw bytes, for the tests of each way to the caller.
 
 #pragma once
 
@@ -11,11 +11,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace peridot {
@@ -182,4 +184,32 @@
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
+/** A RawServer in a thread of its own. */
+class ThreadedServer {
+public:
+    /** @p answer gets the number of the request, from 1 on. */
+    explicit ThreadedServer(const std::function<RawServer::Answer(int)>& answer)
+        : m_server(m_context, [this, answer](const std::string&) { return answer(++m_requests); })
+        , m_address(m_server.address())
+        , m_thread([this] { m_context.run(); })
+    {
+    }
+
+    ~ThreadedServer()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    const std::string& address() const noexcept { return m_address; }
+    int requests() const noexcept { return m_requests; }
+
+private:
+    std::atomic<int> m_requests = 0;
+    boost::asio::io_context m_context;
+    RawServer m_server;
+    const std::string m_address;
+    std::thread m_thread;
+};
+
 }
--- a/tools/peridot-platform/tests/HttpStoreClientTest.cpp
+++ b/tools/peridot-platform/tests/HttpStoreClientTest.cpp
@@ -6,6 +6,7 @@
 #include "program/FreePort.h"
 #include "store/HttpStoreClient.h"
 #include "store/StoreJson.h"
+#include "support/BrokenHeads.h"
 #include "support/CutResponses.h"
 
 #include <boost/asio/io_context.hpp>
@@ -119,37 +120,6 @@
     std::thread m_thread;
 };
 
-/** Answers requests one after another with these responses, in a thread of its own. */
-class CuttingStore {
-public:
-    explicit CuttingStore(const std::vector<CutResponse>& cuts)
-        : m_server(m_context,
-            [this, &cuts](const std::string&) {
-                const auto& cut = cuts.at(m_requests++);
-                return RawServer::Answer { cut.bytes, cut.end };
-            })
-        , m_address(m_server.address())
-        , m_thread([this] { m_context.run(); })
-    {
-    }
-
-    ~CuttingStore()
-    {
-        m_context.stop();
-        m_thread.join();
-    }
-
-    const std::string& address() const noexcept { return m_address; }
-    std::size_t requests() const noexcept { return m_requests; }
-
-private:
-    std::atomic<std::size_t> m_requests = 0;
-    boost::asio::io_context m_context;
-    RawServer m_server;
-    const std::string m_address;
-    std::thread m_thread;
-};
-
 }
 
 class HttpStoreClientTest : public CppUnit::TestFixture {
@@ -162,6 +132,7 @@
     CPPUNIT_TEST(writesDontReuseConnections);
     CPPUNIT_TEST(closedConnectionIsOutcomeUnknownAndSentOnce);
     CPPUNIT_TEST(answerThatBreaksOffIsNoResult);
+    CPPUNIT_TEST(answerWithABrokenHeadIsNoResult);
     CPPUNIT_TEST(rateIsUnavailable);
     CPPUNIT_TEST(closesUnderDelayAndHang);
     CPPUNIT_TEST(destructorEndsOpenCalls);
@@ -315,7 +286,10 @@
             // Without a length the end of the connection ends the body, but not the document.
             for (std::size_t n = 0; n <= body.size(); ++n)
                 cuts.push_back({ "HTTP/1.1 200 OK\r\n\r\n" + body.substr(0, n), BreakOff::Close });
-            CuttingStore store(cuts);
+            const ThreadedServer store([&](int n) {
+                const auto& cut = cuts.at(static_cast<std::size_t>(n) - 1);
+                return RawServer::Answer { cut.bytes, cut.end };
+            });
             for (const auto& cut : cuts) {
                 HttpStoreClient client({ store.address(), "" });
                 const auto result = callAndWait(client, request);
@@ -325,7 +299,25 @@
                     CPPUNIT_ASSERT_MESSAGE(result.error().describe(),
                         result.error().code == (isWrite ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable));
             }
-            CPPUNIT_ASSERT_EQUAL(cuts.size(), store.requests());
+            CPPUNIT_ASSERT_EQUAL(cuts.size(), static_cast<std::size_t>(store.requests()));
+        }
+    }
+
+    // With a status or a length that the store didn't send, a write looked done and a list short.
+    void answerWithABrokenHeadIsNoResult()
+    {
+        for (const bool isWrite : { false, true }) {
+            const auto request = isWrite ? StoreRequest { ObjectPut { "a", "1" } } : StoreRequest { ListInstances {} };
+            const auto body
+                = encodeStoreResult(isWrite ? StoreResult { ObjectStored {} } : StoreResult { InstanceList { {} } });
+            for (const auto& broken : brokenHeads("Content-Type: application/json\r\n", body)) {
+                const ThreadedServer store([&](int) { return RawServer::Answer { broken.bytes }; });
+                HttpStoreClient client({ store.address(), "" });
+                const auto result = callAndWait(client, request);
+                CPPUNIT_ASSERT_MESSAGE(broken.description(false), !result);
+                CPPUNIT_ASSERT_MESSAGE(result.error().describe(),
+                    result.error().code == (isWrite ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable));
+            }
         }
     }
 
--- a/tools/peridotctl/tests/OperatorClientTest.cpp
+++ b/tools/peridotctl/tests/OperatorClientTest.cpp
@@ -25,31 +25,6 @@
     const std::string appliedResponse
         = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(applied.size()) + "\r\n\r\n" + applied;
 
-    /** Answers each request with the same bytes, in a thread of its own. */
-    class ThreadedServer {
-    public:
-        explicit ThreadedServer(RawServer::Answer answer)
-            : m_server(m_context, [answer = std::move(answer)](const std::string&) { return answer; })
-            , m_address(m_server.address())
-            , m_thread([this] { m_context.run(); })
-        {
-        }
-
-        ~ThreadedServer()
-        {
-            m_context.stop();
-            m_thread.join();
-        }
-
-        const std::string& address() const noexcept { return m_address; }
-
-    private:
-        asio::io_context m_context;
-        RawServer m_server;
-        const std::string m_address;
-        std::thread m_thread;
-    };
-
     /** Answers one request per connection over TLS, with a certificate of its own for 127.0.0.1. */
     class TlsServer {
     public:
@@ -118,14 +93,14 @@
     void brokenAnswerIsNone()
     {
         for (const auto& broken : brokenHeads("Content-Type: application/json\r\n", applied)) {
-            const ThreadedServer server(RawServer::Answer { broken.bytes });
+            const ThreadedServer server([&](int) { return RawServer::Answer { broken.bytes }; });
             const OperatorClient client({ server.address() }, "key", "");
             const auto reply = client.post("/changes", { { "a", 1 } }, "c1");
             CPPUNIT_ASSERT_MESSAGE(broken.description(false), !reply);
             CPPUNIT_ASSERT_MESSAGE(
                 reply.error().describe(), reply.error().describe().find("malformed response") != std::string::npos);
         }
-        const ThreadedServer server(RawServer::Answer { appliedResponse });
+        const ThreadedServer server([](int) { return RawServer::Answer { appliedResponse }; });
         const auto reply = OperatorClient({ "http://" + server.address() }, "key", "").get("/status");
         CPPUNIT_ASSERT(reply && reply->status == 200 && reply->body["version"] == 7);
     }
