wire: refuse ZMTP 1.0 and 2.0 at the peer endpoint

Callers saw: an instance ended by its memory, with all its requests, when HTTP bodies were sent to the port for peers; both programs.

Cause: libzmq takes any bytes for the greeting of ZMTP 1.0. Behind it each byte is a length and each length-prefixed piece a frame. Bytes with the lowest bit set in the place of the flags are parts of a message without end, and the limits of the socket (largest message, high-water mark) count whole frames and whole messages only, so that the parts pile up.

Change: the router has an authentication domain whether or not peers encrypt. libzmq refuses both early versions of the protocol for such sockets. Instances speak ZMTP 3; without a bound authenticator the NULL mechanism asks nobody.

Not covered: a peer that completes the handshake of ZMTP 3 and then sends parts of a message without end.

--- a/libs/wire/src/PeerTransport.cpp
+++ b/libs/wire/src/PeerTransport.cpp
@@ -131,11 +131,13 @@
         setCommonOptions(m_router);
         // Without it the socket would drop replies to vanished peers silently, and they would go uncounted.
         m_router.set(zmq::sockopt::router_mandatory, true);
+        // With a domain the socket refuses ZMTP 1.0 and 2.0. It takes any bytes for a greeting of 1.0, and then HTTP
+        // bodies for parts of a message without end, all of which it keeps.
+        m_router.set(zmq::sockopt::zap_domain, "peridot");
         if (m_settings.isEncrypted) {
             openAuthentication();
             m_router.set(zmq::sockopt::curve_server, true);
             m_router.set(zmq::sockopt::curve_secretkey, m_settings.curve.serverSecretKey);
-            m_router.set(zmq::sockopt::zap_domain, "peridot");
         }
         m_router.bind("tcp://" + (m_settings.listenAddress.empty() ? m_settings.address : m_settings.listenAddress));
     } catch (const zmq::error_t& error) {
