http, platform: one budget for the bytes of requests and responses

Callers saw: an instance ended by its memory, with all requests it held, when many bodies of legal size came at once, most of which stopped short of their end; at each listener of peridot-entry.

Cause: ByteAccount counted responses only. Nothing bounded the sum of requests: the parser's bodies, heads and read buffers, requests read ahead on a connection, and what the kernel takes for connections that are not read. The listeners for look-ups, readiness and metrics had the default limits, bodies of 64 MB, and no account. A caller that took nothing of its answer held it for 20 s whatever else needed the room.

Change: each request claims its head, its announced body or its chunks before it holds them; each connection claims its buffers, and the kernel's receive buffer while it is paused. When the sum exceeds half of the settings' memory, claims without progress for 1 s that are at least as large give way first, then the largest request or response that is still being read. An eighth of the budget is left to messages up to 64 KiB. What gives way is answered 503 before it has run, with the time until the message that has waited longest counts as stalled; 413 stays for bodies over max_body_bytes. A response that its caller takes nothing of gives way after 5 s, only when room is needed. Receive buffers of callers' connections are 128 KiB, those of the other listeners 16 KiB, and bodies there 4 KiB. Refusals are logged (input_refused) and counted by listener and cause.

Why it works: whoever holds bytes counts them in one sum, whole requests take seven eighths of it at most, and small requests need no more than the rest.

--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -359,8 +359,10 @@
 void RequestGateway::answer(RequestHandle handle, HttpResponse response)
 {
     auto node = m_requests.extract(handle);
-    if (!node.empty())
-        node.mapped().exchange->respond(std::move(response));
+    if (node.empty())
+        return;
+    node.mapped().exchange->releaseRequestBody();
+    node.mapped().exchange->respond(std::move(response));
 }
 
 }
--- a/libs/http/include/http/ClientConnection.h
+++ b/libs/http/include/http/ClientConnection.h
@@ -35,6 +35,8 @@
     // Maximum size of a response body. It bounds the memory that a server which never stops sending can take.
     std::uint64_t responseBytes = 8'388'608;
     std::shared_ptr<ByteAccount> bytes {}; // Bounds the sum over all connections. Empty: there is no such bound.
+    // Bytes that the kernel takes before they are read; 0 leaves the size to it, which lets it grow.
+    std::size_t receiveBufferBytes = 0;
     std::optional<boost::asio::ip::address> source {}; // Local address; the kernel chooses one if it is empty.
     // If set, a response that has begun fails once no further byte has come for so long, whatever the timeout of its
     // request: a long response on a slow link is not a lost one. Only for servers that are trusted to end.
--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -22,18 +22,21 @@
  *  broadcast address. */
 Result<boost::asio::ip::tcp::endpoint> parseServerEndpoint(const std::string& text);
 
-/** Opens a listening socket on "host:port"; the address may be in use by connections that are closing. */
-Result<void> openListener(boost::asio::ip::tcp::acceptor&, const std::string& address);
+/** Opens a listening socket on "host:port"; the address may be in use by connections that are closing. A value of
+ *  @p receiveBufferBytes other than 0 bounds what the kernel takes on a connection before it is read. */
+Result<void> openListener(
+    boost::asio::ip::tcp::acceptor&, const std::string& address, std::size_t receiveBufferBytes = 0);
 
 /** Not thread-safe: runs on the thread of the io_context. */
 class HttpServer {
 public:
     using EndHandler = std::function<void(const ConnectionEnd&)>;
 
-    /** @p onEnd, which may be empty, is called when a connection has ended. @p bytes, which may be null, counts the
-     *  responses until they are written. */
+    /** @p onEnd, which may be empty, is called when a connection has ended, @p onRefused when input was refused.
+     *  @p bytes, which may be null, bounds what connections, requests and responses hold. */
     HttpServer(boost::asio::io_context&, HttpServerLimits, std::size_t maximumConnections,
-        ServerConnection::RequestHandler, EndHandler onEnd = {}, std::shared_ptr<ByteAccount> bytes = {});
+        ServerConnection::RequestHandler, EndHandler onEnd = {}, std::shared_ptr<ByteAccount> bytes = {},
+        ServerConnection::RefusalHandler onRefused = {});
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
@@ -58,6 +61,8 @@
     std::size_t connectionCount() const noexcept { return m_connections.size(); }
     /** Connections that have ended, by reason. */
     const std::map<CloseReason, std::uint64_t>& endedConnections() const noexcept { return m_ended; }
+    /** Input that was refused, by cause. */
+    const std::map<RefusalCause, std::uint64_t>& refusedInput() const noexcept { return m_refused; }
 
 private:
     void accept();
@@ -70,11 +75,13 @@
     const std::size_t m_maximumConnections;
     ServerConnection::RequestHandler m_onRequest;
     EndHandler m_onEnd;
+    ServerConnection::RefusalHandler m_onRefused;
     const std::shared_ptr<ByteAccount> m_bytes;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_sweepTimer;
     std::map<ServerConnection*, std::shared_ptr<ServerConnection>> m_connections;
     std::map<CloseReason, std::uint64_t> m_ended;
+    std::map<RefusalCause, std::uint64_t> m_refused;
     bool m_isDraining = false;
     bool m_isAcceptPaused = false; // The limit of connections is reached.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/libs/http/include/http/MessageHeaders.h
+++ b/libs/http/include/http/MessageHeaders.h
@@ -22,6 +22,9 @@
 /** A response of this process, with its length. */
 HttpResponse makeResponse(boost::beast::http::status, std::string_view contentType, std::string body);
 
+/** States when the caller may send the request again, in seconds. */
+void setRetryAfter(HttpResponse&, Duration);
+
 /** The value of a header that may appear once; nothing if it is missing. The first one wins if it is repeated. */
 std::optional<std::string_view> headerValue(const HttpFields&, std::string_view name);
 
--- a/libs/http/include/http/ServerConnection.h
+++ b/libs/http/include/http/ServerConnection.h
@@ -29,6 +29,9 @@
     Duration headerTimeout = std::chrono::seconds { 3 }; // From the first byte of a request head to its end.
     Duration idleTimeout = std::chrono::seconds { 15 }; // Without a request.
     std::size_t pipelineDepth = 32; // Requests read ahead of their answers, per connection.
+    // Bytes of a connection that the kernel takes before they are read; 0 leaves the size to it, which lets it grow. It
+    // is set for the listener and stays as it is then.
+    std::size_t receiveBufferBytes = 0;
 };
 
 /** Why a connection of a caller ended. */
@@ -39,20 +42,48 @@
     IdleLimit,
     Room, // Idle while there are many connections.
     Timeout, // The caller didn't take its answer in time.
+    Memory, // The caller took nothing of its answer while memory was short.
     Stopped, // The server closed all connections.
 };
 
 template <>
-inline constexpr EnumNameTable<CloseReason, 7> enumNames<CloseReason> { {
+inline constexpr EnumNameTable<CloseReason, 8> enumNames<CloseReason> { {
     { CloseReason::CallerClosed, "caller_closed" },
     { CloseReason::Broken, "broken" },
     { CloseReason::FinalAnswer, "final_answer" },
     { CloseReason::IdleLimit, "idle_limit" },
     { CloseReason::Room, "room" },
     { CloseReason::Timeout, "timeout" },
+    { CloseReason::Memory, "memory" },
     { CloseReason::Stopped, "stopped" },
 } };
 
+/** Why input of a caller was answered without being handled as a request. */
+enum class RefusalCause {
+    Malformed,
+    HeaderTooLarge,
+    BodyTooLarge,
+    TooSlow,
+    Memory, // There is no room for the request.
+    Stopping,
+};
+
+template <>
+inline constexpr EnumNameTable<RefusalCause, 6> enumNames<RefusalCause> { {
+    { RefusalCause::Malformed, "malformed" },
+    { RefusalCause::HeaderTooLarge, "header_too_large" },
+    { RefusalCause::BodyTooLarge, "body_too_large" },
+    { RefusalCause::TooSlow, "too_slow" },
+    { RefusalCause::Memory, "memory" },
+    { RefusalCause::Stopping, "stopping" },
+} };
+
+struct RefusedInput {
+    RefusalCause cause = RefusalCause::Malformed;
+    std::uint64_t announcedBytes = 0; // Length of the body; 0 if it is unknown.
+    std::uint64_t receivedBytes = 0; // Of the request, with its head.
+};
+
 /** How a connection ended, as the server knows it. */
 struct ConnectionEnd {
     CloseReason reason = CloseReason::CallerClosed;
@@ -77,12 +108,15 @@
     std::function<void()> onCallerGone;
 
     void respond(HttpResponse response);
+    /** Gives back the memory of the request's body. */
+    void releaseRequestBody();
     bool isAnswered() const noexcept { return m_response.has_value(); }
 
 private:
     friend class ServerConnection;
 
     std::weak_ptr<ServerConnection> m_connection;
+    std::unique_ptr<ByteAccount::Claim> m_requestClaim;
     std::optional<HttpResponse> m_response;
     std::optional<ByteAccount::Claim> m_claim; // Of the response, until it is written.
     bool m_closes = false; // The connection ends after this answer: the caller or a protocol error wants it.
@@ -94,10 +128,12 @@
     using Clock = SuspendAwareClock;
     using RequestHandler = std::function<void(const std::shared_ptr<HttpExchange>&)>;
     using ClosedHandler = std::function<void(ServerConnection&)>;
+    using RefusalHandler = std::function<void(const RefusedInput&)>;
 
-    /** @p bytes, which may be null, counts the responses until they are written. */
+    /** @p bytes, which may be null, bounds what the connection and its requests and responses hold. @p onRefused may be
+     *  empty. */
     ServerConnection(boost::asio::ip::tcp::socket, const HttpServerLimits&, std::shared_ptr<ByteAccount> bytes,
-        RequestHandler, ClosedHandler);
+        RequestHandler, ClosedHandler, RefusalHandler onRefused = {});
 
     void start();
     /** Closes the connection if a time limit has passed. Call it every 100 ms or so. */
@@ -128,12 +164,19 @@
     void onRead(const boost::system::error_code&, std::size_t bytes);
     /** Parses what has been read; returns false if no more may be read for now. */
     bool parse();
+    void beginRequest();
+    void pauseReading();
+    /** Claims what the request takes once the parser has got all that has been read. Returns false if there is no room
+     *  for it. */
+    bool claimInput();
+    void endRevoked(std::uint64_t request);
     bool headerIsSound() const;
     void finishRequest();
     /** Answers a request that could not be read, behind the answers that are due before it, and ends the connection. */
-    void rejectInput(boost::beast::http::status);
+    void rejectInput(RefusalCause);
     void answered(HttpExchange&);
     void writeNext();
+    void writePiece();
     void onWritten(const boost::system::error_code&);
     void lingerAndClose();
     /** Notes the first reason and what the socket holds at that moment. */
@@ -148,8 +191,14 @@
     const std::shared_ptr<ByteAccount> m_bytes;
     RequestHandler m_onRequest;
     ClosedHandler m_onClosed;
+    RefusalHandler m_onRefused;
+    std::optional<ByteAccount::Claim> m_connectionClaim; // Of what it holds without a request.
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<Parser> m_parser;
+    std::unique_ptr<ByteAccount::Claim> m_claim; // Of the request that is read; null if there is no account.
+    std::uint64_t m_request = 0; // Number of the request that is read, or was read last.
+    std::size_t m_headBytes = 0; // Of it.
+    std::uint64_t m_receivedBytes = 0; // Of it, with its head.
     std::deque<std::shared_ptr<HttpExchange>> m_exchanges; // Oldest first; answers leave in this order.
     std::optional<HttpResponse> m_writing; // The answer to m_exchanges.front() while it is written.
     std::unique_ptr<boost::beast::http::response_serializer<boost::beast::http::string_body>> m_serializer;
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -141,6 +141,8 @@
     }
     // Without these options the connection is slower or its loss is found later, so errors don't matter.
     m_socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    if (m_options.receiveBufferBytes > 0)
+        m_socket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(m_options.receiveBufferBytes)), ec);
     m_socket.set_option(UserTimeout(static_cast<int>(toMilliseconds(m_options.acknowledgeTimeout))), ec);
     m_connectStart = Clock::now();
     m_connectTimer.expires_after(m_options.connectTimeout);
@@ -205,6 +207,8 @@
 
 void ClientConnection::read()
 {
+    if (m_buffer.size() == 0 && m_buffer.capacity() > readSize)
+        m_buffer.shrink_to_fit();
     m_socket.async_read_some(m_buffer.prepare(readSize),
         [self = shared_from_this()](const error_code& ec, std::size_t n) { self->onRead(ec, n); });
 }
@@ -235,6 +239,8 @@
         return;
     }
     m_buffer.commit(bytes);
+    if (m_claim)
+        m_claim->noteProgress();
     if (!m_onResult || !m_wasSent) {
         fail("the server sent bytes without a request", true);
         return;
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -53,7 +53,7 @@
     return endpoint;
 }
 
-Result<void> openListener(asio::ip::tcp::acceptor& acceptor, const std::string& address)
+Result<void> openListener(asio::ip::tcp::acceptor& acceptor, const std::string& address, std::size_t receiveBufferBytes)
 {
     const auto endpoint = parseEndpoint(address);
     if (!endpoint)
@@ -64,6 +64,9 @@
         acceptor.set_option(asio::socket_base::reuse_address(true), ec);
     if (!ec)
         acceptor.bind(*endpoint, ec);
+    // Connections take the size over when they are opened.
+    if (!ec && receiveBufferBytes > 0)
+        acceptor.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(receiveBufferBytes)), ec);
     if (!ec)
         acceptor.listen(asio::socket_base::max_listen_connections, ec);
     if (ec)
@@ -72,11 +75,13 @@
 }
 
 HttpServer::HttpServer(asio::io_context& context, HttpServerLimits limits, std::size_t maximumConnections,
-    ServerConnection::RequestHandler onRequest, EndHandler onEnd, std::shared_ptr<ByteAccount> bytes)
+    ServerConnection::RequestHandler onRequest, EndHandler onEnd, std::shared_ptr<ByteAccount> bytes,
+    ServerConnection::RefusalHandler onRefused)
     : m_limits(limits)
     , m_maximumConnections(maximumConnections)
     , m_onRequest(std::move(onRequest))
     , m_onEnd(std::move(onEnd))
+    , m_onRefused(std::move(onRefused))
     , m_bytes(std::move(bytes))
     , m_acceptor(context)
     , m_sweepTimer(context)
@@ -91,7 +96,7 @@
 
 Result<void> HttpServer::listen(const std::string& address)
 {
-    if (auto opened = openListener(m_acceptor, address); !opened)
+    if (auto opened = openListener(m_acceptor, address, m_limits.receiveBufferBytes); !opened)
         return opened;
     accept();
     scheduleSweep();
@@ -131,7 +136,8 @@
 void HttpServer::open(asio::ip::tcp::socket socket)
 {
     auto connection = std::make_shared<ServerConnection>(
-        std::move(socket), m_limits, m_bytes, m_onRequest, [this, isAlive = m_isAlive](ServerConnection& closed) {
+        std::move(socket), m_limits, m_bytes, m_onRequest,
+        [this, isAlive = m_isAlive](ServerConnection& closed) {
             if (!*isAlive)
                 return;
             m_connections.erase(&closed);
@@ -140,6 +146,13 @@
                 m_onEnd(closed.end());
             if (m_isAcceptPaused)
                 accept();
+        },
+        [this, isAlive = m_isAlive](const RefusedInput& refused) {
+            if (!*isAlive)
+                return;
+            ++m_refused[refused.cause];
+            if (m_onRefused)
+                m_onRefused(refused);
         });
     m_connections.emplace(connection.get(), connection);
     if (m_isDraining)
--- a/libs/http/src/MessageHeaders.cpp
+++ b/libs/http/src/MessageHeaders.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <fmt/format.h>
+
 #include <charconv>
 #include <string>
 #include <utility>
@@ -22,6 +24,11 @@
     return response;
 }
 
+void setRetryAfter(HttpResponse& response, Duration pause)
+{
+    response.set(http::field::retry_after, pause.count() > 0 ? fmt::format("{:.3f}", toSeconds(pause)) : "0");
+}
+
 std::optional<std::string_view> headerValue(const HttpFields& fields, std::string_view name)
 {
     const auto it = fields.find(boost::beast::string_view(name.data(), name.size()));
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -23,6 +23,30 @@
     constexpr std::chrono::seconds lingerTime { 1 };
     // Answers to slow readers wait this long for progress.
     constexpr std::chrono::seconds writeTimeout { 20 };
+    // Memory of a connection without a request, beside its buffer.
+    constexpr std::size_t connectionBytes = 4'096;
+    // Memory of an open request beside its head and body, and the copies of its head in use at a time: here, and on the
+    // way to a server or another instance.
+    constexpr std::size_t requestBytes = 2'048;
+    constexpr std::size_t headCopies = 3;
+
+    http::status statusOf(RefusalCause cause)
+    {
+        switch (cause) {
+        case RefusalCause::Malformed:
+            return http::status::bad_request;
+        case RefusalCause::HeaderTooLarge:
+            return http::status::request_header_fields_too_large;
+        case RefusalCause::BodyTooLarge:
+            return http::status::payload_too_large;
+        case RefusalCause::TooSlow:
+            return http::status::request_timeout;
+        case RefusalCause::Memory:
+        case RefusalCause::Stopping:
+            break;
+        }
+        return http::status::service_unavailable;
+    }
 
     /** Whether the peer's machine has got all that was written. A close with unread input discards the rest. */
     bool isDelivered(asio::ip::tcp::socket& socket)
@@ -42,21 +66,38 @@
     const auto connection = m_connection.lock();
     if (!connection)
         return;
-    if (connection->m_bytes)
-        m_claim.emplace(connection->m_bytes, nullptr).resize(m_response->body().capacity());
+    if (connection->m_bytes) {
+        const auto onRevoked = [weak = m_connection] {
+            if (const auto stalled = weak.lock())
+                asio::post(stalled->m_socket.get_executor(), [stalled] { stalled->close(CloseReason::Memory); });
+        };
+        m_claim.emplace(connection->m_bytes, onRevoked, MessageKind::Response, ClaimStage::Writing)
+            .resize(m_response->body().capacity());
+    }
     connection->answered(*this);
 }
 
+void HttpExchange::releaseRequestBody()
+{
+    const auto capacity = request.body().capacity();
+    request.body() = {};
+    if (m_requestClaim)
+        m_requestClaim->resize(m_requestClaim->bytes() - std::min(m_requestClaim->bytes(), capacity));
+}
+
 ServerConnection::ServerConnection(asio::ip::tcp::socket socket, const HttpServerLimits& limits,
-    std::shared_ptr<ByteAccount> bytes, RequestHandler onRequest, ClosedHandler onClosed)
+    std::shared_ptr<ByteAccount> bytes, RequestHandler onRequest, ClosedHandler onClosed, RefusalHandler onRefused)
     : m_socket(std::move(socket))
     , m_limits(limits)
     , m_bytes(std::move(bytes))
     , m_onRequest(std::move(onRequest))
     , m_onClosed(std::move(onClosed))
+    , m_onRefused(std::move(onRefused))
     , m_lastActivity(Clock::now())
     , m_idleTimeout(limits.idleTimeout)
 {
+    if (m_bytes)
+        m_connectionClaim.emplace(m_bytes, nullptr, MessageKind::Request).resize(connectionBytes + readSize);
 }
 
 void ServerConnection::start()
@@ -71,6 +112,8 @@
     if (m_isReading || m_isClosed)
         return;
     m_isReading = true;
+    if (m_buffer.size() == 0 && m_buffer.capacity() > readSize)
+        m_buffer.shrink_to_fit();
     m_socket.async_read_some(
         m_buffer.prepare(readSize), [self = shared_from_this()](const error_code& ec, std::size_t n) {
             self->m_isReading = false;
@@ -104,54 +147,52 @@
 bool ServerConnection::parse()
 {
     while (m_acceptsRequests && !m_isClosed) {
-        // A paused connection continues in onWritten().
-        if (m_exchanges.size() >= m_limits.pipelineDepth)
+        if (m_exchanges.size() >= m_limits.pipelineDepth) {
+            pauseReading();
             return false;
+        }
         if (m_buffer.size() == 0)
             return true;
-        if (!m_parser) {
-            m_parser = std::make_unique<Parser>();
-            m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
-            m_parser->body_limit(m_limits.bodyBytes);
-            m_parser->eager(true);
-            m_isReadingRequest = true;
-            m_isRequestLineRead = false;
-            m_isHeaderRead = false;
-            m_lastActivity = Clock::now();
-        }
+        if (!m_parser)
+            beginRequest();
         if (!m_isHeaderRead && !headerIsSound()) {
-            rejectInput(http::status::bad_request);
+            rejectInput(RefusalCause::Malformed);
+            return true;
+        }
+        if (!claimInput()) {
+            rejectInput(RefusalCause::Memory);
             return true;
         }
         error_code ec;
         const auto consumed = m_parser->put(m_buffer.data(), ec);
         m_buffer.consume(consumed);
+        m_receivedBytes += consumed;
         if (consumed > 0 && !m_parser->is_header_done() && !m_isRequestLineRead) {
             m_isRequestLineRead = true;
             // The parser counts what is in the buffer.
             m_parser->header_limit(
                 static_cast<std::uint32_t>(m_limits.headerBytes - std::min(consumed, m_limits.headerBytes)));
         }
+        if (ec && ec != http::error::need_more) {
+            rejectInput(ec == http::error::header_limit ? RefusalCause::HeaderTooLarge
+                    : ec == http::error::body_limit     ? RefusalCause::BodyTooLarge
+                                                        : RefusalCause::Malformed);
+            return true;
+        }
         if (!m_isHeaderRead && m_parser->is_header_done()) {
             m_isHeaderRead = true;
+            // Parts of the body may have come with the head.
+            m_headBytes = static_cast<std::size_t>(m_receivedBytes) - m_parser->get().body().size();
+            if (!claimInput()) {
+                rejectInput(RefusalCause::Memory);
+                return true;
+            }
             noteExpectation();
         }
         if (ec == http::error::need_more) {
             // What the parser leaves is the start of a header, a chunk header or a trailer. It limits headers only.
             if (m_buffer.size() > m_limits.headerBytes)
-                rejectInput(http::status::request_header_fields_too_large);
-            return true;
-        }
-        if (ec == http::error::header_limit) {
-            rejectInput(http::status::request_header_fields_too_large);
-            return true;
-        }
-        if (ec == http::error::body_limit) {
-            rejectInput(http::status::payload_too_large);
-            return true;
-        }
-        if (ec) {
-            rejectInput(http::status::bad_request);
+                rejectInput(RefusalCause::HeaderTooLarge);
             return true;
         }
         if (m_parser->is_done())
@@ -160,6 +201,58 @@
     return !m_isClosed;
 }
 
+void ServerConnection::beginRequest()
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+    m_parser->body_limit(m_limits.bodyBytes);
+    m_parser->eager(true);
+    m_isReadingRequest = true;
+    m_isRequestLineRead = false;
+    m_isHeaderRead = false;
+    m_headBytes = 0;
+    m_receivedBytes = 0;
+    m_lastActivity = Clock::now();
+    ++m_request;
+    if (!m_bytes)
+        return;
+    const auto onRevoked = [weak = weak_from_this(), request = m_request] {
+        if (const auto self = weak.lock())
+            asio::post(self->m_socket.get_executor(), [self, request] { self->endRevoked(request); });
+    };
+    m_claim = std::make_unique<ByteAccount::Claim>(m_bytes, onRevoked, MessageKind::Request);
+}
+
+/** Reading goes on in onWritten(). Until then the kernel holds what comes. */
+void ServerConnection::pauseReading()
+{
+    if (m_connectionClaim)
+        m_connectionClaim->resize(connectionBytes + readSize + m_limits.receiveBufferBytes);
+}
+
+bool ServerConnection::claimInput()
+{
+    if (!m_claim)
+        return true;
+    m_claim->noteProgress();
+    const auto head = m_isHeaderRead ? m_headBytes : m_receivedBytes + m_buffer.size();
+    std::size_t body = 0;
+    // What is behind a body of known length belongs to the next request.
+    if (m_isHeaderRead && m_parser->content_length())
+        body = static_cast<std::size_t>(*m_parser->content_length());
+    else if (m_isHeaderRead && m_parser->chunked())
+        body = m_parser->get().body().capacityWith(m_buffer.size());
+    // Beyond the size of one read the buffer holds a head or a chunk header that is not yet whole.
+    const auto unparsed = m_buffer.capacity() - std::min(m_buffer.capacity(), readSize);
+    return m_claim->resize(requestBytes + headCopies * head + body + unparsed);
+}
+
+void ServerConnection::endRevoked(std::uint64_t request)
+{
+    if (m_isReadingRequest && m_request == request && m_acceptsRequests && !m_isClosed)
+        rejectInput(RefusalCause::Memory);
+}
+
 bool ServerConnection::headerIsSound() const
 {
     const auto data = m_buffer.data();
@@ -171,6 +264,11 @@
     auto exchange = std::make_shared<HttpExchange>(weak_from_this());
     exchange->request = m_parser->release();
     exchange->m_closes = !exchange->request.keep_alive();
+    if (m_claim) {
+        m_claim->hold();
+        m_claim->resize(requestBytes + headCopies * m_headBytes + exchange->request.body().capacity());
+    }
+    exchange->m_requestClaim = std::move(m_claim);
     m_parser.reset();
     m_isReadingRequest = false;
     m_lastActivity = Clock::now();
@@ -180,26 +278,36 @@
     m_onRequest(exchange);
 }
 
-void ServerConnection::rejectInput(http::status status)
+void ServerConnection::rejectInput(RefusalCause cause)
 {
+    RefusedInput refused { cause, 0, m_receivedBytes };
+    if (m_parser) {
+        const auto length = headerValue(m_parser->get(), "Content-Length");
+        refused.announcedBytes = length ? parseNumber(*length).value_or(0) : 0;
+    }
     auto exchange = std::make_shared<HttpExchange>(weak_from_this());
     exchange->m_closes = true;
     m_parser.reset();
+    m_claim.reset();
     m_isReadingRequest = false;
     m_owesContinue = false;
     m_acceptsRequests = false;
     m_buffer.consume(m_buffer.size());
     m_exchanges.push_back(exchange);
+    const auto status = statusOf(cause);
     auto response = makeResponse(status, "text/plain", std::string(http::obsolete_reason(status)) + "\n");
+    // Another instance can take it at once. Crowds that exceed the memory of one often reach the others as well.
     if (status == http::status::service_unavailable)
-        response.set(http::field::retry_after, "0"); // Another instance can take it at once.
+        setRetryAfter(response, cause == RefusalCause::Memory ? m_bytes->timeToRoom() : Duration { 0 });
+    if (m_onRefused)
+        m_onRefused(refused);
     exchange->respond(std::move(response));
 }
 
 void ServerConnection::rejectUnfinishedRequest()
 {
     if (m_isReadingRequest && m_acceptsRequests && !m_isClosed)
-        rejectInput(http::status::service_unavailable);
+        rejectInput(RefusalCause::Stopping);
 }
 
 void ServerConnection::noteExpectation()
@@ -245,11 +353,27 @@
     m_lastActivity = Clock::now();
     const bool hasNoBody = exchange.request.method() == http::verb::head;
     m_serializer = std::make_unique<http::response_serializer<http::string_body>>(*m_writing);
-    auto handler = [self = shared_from_this()](const error_code& ec, std::size_t) { self->onWritten(ec); };
     if (hasNoBody)
-        http::async_write_header(m_socket, *m_serializer, std::move(handler));
+        http::async_write_header(m_socket, *m_serializer,
+            [self = shared_from_this()](const error_code& ec, std::size_t) { self->onWritten(ec); });
     else
-        http::async_write(m_socket, *m_serializer, std::move(handler));
+        writePiece();
+}
+
+void ServerConnection::writePiece()
+{
+    http::async_write_some(
+        m_socket, *m_serializer, [self = shared_from_this()](const error_code& ec, std::size_t bytes) {
+            if (self->m_isClosed)
+                return;
+            if (ec || self->m_serializer->is_done()) {
+                self->onWritten(ec);
+                return;
+            }
+            if (bytes > 0 && self->m_exchanges.front()->m_claim)
+                self->m_exchanges.front()->m_claim->noteProgress();
+            self->writePiece();
+        });
 }
 
 void ServerConnection::onWritten(const error_code& ec)
@@ -275,6 +399,8 @@
     }
     writeNext();
     sendContinue();
+    if (m_connectionClaim)
+        m_connectionClaim->resize(connectionBytes + readSize);
     if (!m_isReading && parse())
         read();
 }
@@ -329,7 +455,7 @@
         const auto limit = m_isHeaderRead ? m_limits.headerTimeout + m_limits.idleTimeout : m_limits.headerTimeout;
         // A process that runs late meets its limits before input that came in time.
         if (passed > limit && pendingInput(m_socket) != PendingInput::Bytes)
-            rejectInput(http::status::request_timeout);
+            rejectInput(RefusalCause::TooSlow);
     } else if (passed > std::max(m_idleTimeout, m_limits.idleTimeout)) {
         closeIfIdle(CloseReason::IdleLimit);
     }
--- a/libs/http/tests/ByteAccountTest.cpp
+++ b/libs/http/tests/ByteAccountTest.cpp
@@ -15,6 +15,11 @@
     CPPUNIT_TEST(messageThatIsTheLargestEndsItself);
     CPPUNIT_TEST(readyMessagesAreCountedOnly);
     CPPUNIT_TEST(revokedBytesCountUntilTheyAreGivenBack);
+    CPPUNIT_TEST(messageWithoutProgressMakesRoomFirst);
+    CPPUNIT_TEST(smallMessageDoesNotEndForALargeOne);
+    CPPUNIT_TEST(largeMessagesLeaveRoomToSmallOnes);
+    CPPUNIT_TEST(messageThatNobodyTakesMakesRoomLate);
+    CPPUNIT_TEST(timeToRoomEndsWithTheLongestStall);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,6 +83,85 @@
         first.reset();
         CPPUNIT_ASSERT_EQUAL(std::size_t { 60 }, account->held());
     }
+
+    /** Callers that stop short of the end of their bodies kept others out for as long as a body may take. */
+    void messageWithoutProgressMakesRoomFirst()
+    {
+        TimePoint now {};
+        const auto account = std::make_shared<ByteAccount>(100, [&] { return now; });
+        int stalledEnds = 0;
+        int activeEnds = 0;
+        ByteAccount::Claim stalled(account, [&] { ++stalledEnds; });
+        ByteAccount::Claim active(account, [&] { ++activeEnds; });
+        stalled.resize(40);
+        active.resize(50);
+        now += std::chrono::seconds { 2 };
+        active.noteProgress();
+        ByteAccount::Claim next(account, [] {});
+        CPPUNIT_ASSERT(next.resize(30));
+        CPPUNIT_ASSERT(stalledEnds == 1 && activeEnds == 0);
+    }
+
+    void smallMessageDoesNotEndForALargeOne()
+    {
+        TimePoint now {};
+        const auto account = std::make_shared<ByteAccount>(100, [&] { return now; });
+        int smallEnds = 0;
+        ByteAccount::Claim small(account, [&] { ++smallEnds; });
+        small.resize(30);
+        now += std::chrono::seconds { 10 };
+        ByteAccount::Claim large(account, [] {});
+        CPPUNIT_ASSERT(!large.resize(80));
+        CPPUNIT_ASSERT_EQUAL(0, smallEnds);
+    }
+
+    /** Whole requests are never ended, so that some large ones could take all the room for as long as they run. */
+    void largeMessagesLeaveRoomToSmallOnes()
+    {
+        const auto account = std::make_shared<ByteAccount>(1'000'000);
+        ByteAccount::Claim held(account, [] {});
+        CPPUNIT_ASSERT(held.resize(account->largestMessage()));
+        held.hold();
+        ByteAccount::Claim large(account, [] {});
+        CPPUNIT_ASSERT(!large.resize(70'000));
+        large.resize(0);
+        ByteAccount::Claim small(account, [] {});
+        CPPUNIT_ASSERT(small.resize(60'000));
+        CPPUNIT_ASSERT(account->largestMessage() < 1'000'000 - 60'000);
+    }
+
+    void messageThatNobodyTakesMakesRoomLate()
+    {
+        TimePoint now {};
+        const auto account = std::make_shared<ByteAccount>(100, [&] { return now; });
+        int ends = 0;
+        ByteAccount::Claim ready(
+            account, [&] { ++ends; }, MessageKind::Response, ClaimStage::Writing);
+        ready.resize(80);
+        now += std::chrono::seconds { 2 };
+        {
+            ByteAccount::Claim other(account, [] {});
+            CPPUNIT_ASSERT(!other.resize(40));
+        }
+        now += std::chrono::seconds { 4 };
+        ByteAccount::Claim other(account, [] {});
+        CPPUNIT_ASSERT(other.resize(40));
+        CPPUNIT_ASSERT_EQUAL(1, ends);
+    }
+
+    /** Callers come back in vain before it. */
+    void timeToRoomEndsWithTheLongestStall()
+    {
+        TimePoint now {};
+        const auto account = std::make_shared<ByteAccount>(100, [&] { return now; });
+        CPPUNIT_ASSERT_EQUAL(Duration { std::chrono::seconds { 1 } }.count(), account->timeToRoom().count());
+        ByteAccount::Claim stalled(account, [] {});
+        stalled.resize(80);
+        now += std::chrono::milliseconds { 700 };
+        CPPUNIT_ASSERT_EQUAL(Duration { std::chrono::milliseconds { 300 } }.count(), account->timeToRoom().count());
+        now += std::chrono::seconds { 5 };
+        CPPUNIT_ASSERT(account->timeToRoom() > Duration { 0 });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ByteAccountTest);
--- a/libs/http/tests/LoopbackCaller.h
+++ b/libs/http/tests/LoopbackCaller.h
@@ -27,14 +27,17 @@
 /** A server with a handler of the test's choice, and a caller that sends raw bytes. */
 class Loopback {
 public:
-    explicit Loopback(HttpServerLimits limits = {}, std::size_t connections = 100)
-        : server(context, limits, connections,
+    explicit Loopback(
+        HttpServerLimits limits = {}, std::size_t connections = 100, std::shared_ptr<ByteAccount> bytes = {})
+        : server(
+            context, limits, connections,
             [this](const std::shared_ptr<HttpExchange>& exchange) {
                 exchanges.push_back(exchange);
                 exchange->onCallerGone = [this] { ++gone; };
                 if (answersAtOnce)
                     exchange->respond(ok(std::string(exchange->request.target())));
-            })
+            },
+            {}, std::move(bytes))
         , caller(context)
     {
         CPPUNIT_ASSERT(server.listen("127.0.0.1:0"));
