http: requests that make no progress give way when connections run short

Callers saw: no answer for up to 18 s while a crowd kept half a request each on as many connections as the instance takes.

Cause: near the limit only idle connections were closed. One with part of a request stayed until its time limit, and one whose last answer was written for a second more.

Evidence: stalledRequestsMakeRoomForConnections (12 callers with half a request, 10 connections) fails without this change.

At the limit a connection that only lingers ends when the next one comes.

--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -70,6 +70,11 @@
     void scheduleSweep();
     void sweep();
     void closeIdlest(ServerConnection::Clock::time_point now);
+    void rejectStalled(ServerConnection::Clock::time_point now);
+    /** Closes a connection whose last answer is written. Returns false if there is none. */
+    bool closeLingering();
+    /** Connections that are given up at a time. */
+    std::size_t closedAtATime() const;
 
     HttpServerLimits m_limits;
     const std::size_t m_maximumConnections;
--- a/libs/http/include/http/ServerConnection.h
+++ b/libs/http/include/http/ServerConnection.h
@@ -65,16 +65,18 @@
     BodyTooLarge,
     TooSlow,
     Memory, // There is no room for the request.
+    Connections, // It makes no progress while there are many connections.
     Stopping,
 };
 
 template <>
-inline constexpr EnumNameTable<RefusalCause, 6> enumNames<RefusalCause> { {
+inline constexpr EnumNameTable<RefusalCause, 7> enumNames<RefusalCause> { {
     { RefusalCause::Malformed, "malformed" },
     { RefusalCause::HeaderTooLarge, "header_too_large" },
     { RefusalCause::BodyTooLarge, "body_too_large" },
     { RefusalCause::TooSlow, "too_slow" },
     { RefusalCause::Memory, "memory" },
+    { RefusalCause::Connections, "connections" },
     { RefusalCause::Stopping, "stopping" },
 } };
 
@@ -144,6 +146,12 @@
     void rejectUnfinishedRequest();
     /** Closes the connection if nothing happens on it. */
     void closeIfIdle(CloseReason);
+    /** Whether part of a request has been read and no byte has come for @p time. */
+    bool isStalled(Clock::time_point now, Duration time) const;
+    /** Answers 503 to a request that is stalled, and ends the connection with that answer. */
+    void rejectStalledRequest() { rejectInput(RefusalCause::Connections); }
+    /** Whether the last answer is written and only the end of the input is awaited. */
+    bool isLingering() const noexcept { return m_isLingering; }
     /** Closes at once; callers of open exchanges count as gone. */
     void close(CloseReason);
     /** Complete once the connection is closed. */
@@ -199,6 +207,7 @@
     std::uint64_t m_request = 0; // Number of the request that is read, or was read last.
     std::size_t m_headBytes = 0; // Of it.
     std::uint64_t m_receivedBytes = 0; // Of it, with its head.
+    Clock::time_point m_lastInput;
     std::deque<std::shared_ptr<HttpExchange>> m_exchanges; // Oldest first; answers leave in this order.
     std::optional<HttpResponse> m_writing; // The answer to m_exchanges.front() while it is written.
     std::unique_ptr<boost::beast::http::response_serializer<boost::beast::http::string_body>> m_serializer;
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -12,13 +12,14 @@
 
     // Time limits of connections are seconds, so this granularity is fine.
     constexpr std::chrono::milliseconds sweepInterval { 200 };
-    // Above this share of the allowed connections, idle ones are closed, oldest first, this part of the limit at a
-    // time.
+    // Above this share of the allowed connections, idle ones are closed and those whose request makes no progress are
+    // refused, oldest first, this part of the limit at a time.
     constexpr double fullShare = 0.7;
     constexpr std::size_t closedPart = 10;
     constexpr std::chrono::milliseconds shortestIdleTime {
         700
     }; // More than a caller takes between two requests in a row.
+    constexpr std::chrono::milliseconds stallTime { 1'000 }; // More than a sound link takes between two packets.
 
 }
 
@@ -115,11 +116,11 @@
 {
     if (!m_acceptor.is_open())
         return;
-    if (m_connections.size() >= m_maximumConnections) {
+    m_isAcceptPaused = false;
+    if (m_connections.size() >= m_maximumConnections && !closeLingering()) {
         m_isAcceptPaused = true;
         return;
     }
-    m_isAcceptPaused = false;
     m_acceptor.async_accept([this, isAlive = m_isAlive](const error_code& ec, asio::ip::tcp::socket socket) {
         if (!*isAlive || ec == asio::error::operation_aborted)
             return;
@@ -181,8 +182,10 @@
     const auto now = ServerConnection::Clock::now();
     for (const auto& connection : connections)
         connection->checkTimeouts(now);
-    if (m_connections.size() > static_cast<std::size_t>(fullShare * static_cast<double>(m_maximumConnections)))
+    if (m_connections.size() > static_cast<std::size_t>(fullShare * static_cast<double>(m_maximumConnections))) {
         closeIdlest(now);
+        rejectStalled(now);
+    }
     if (m_isAcceptPaused)
         accept();
 }
@@ -197,11 +200,40 @@
     }
     std::sort(
         idle.begin(), idle.end(), [](const auto& a, const auto& b) { return a->lastActivity() < b->lastActivity(); });
-    idle.resize(std::min(idle.size(), m_maximumConnections / closedPart));
+    idle.resize(std::min(idle.size(), closedAtATime()));
     for (const auto& connection : idle)
         connection->closeIfIdle(CloseReason::Room);
 }
 
+void HttpServer::rejectStalled(ServerConnection::Clock::time_point now)
+{
+    std::vector<std::shared_ptr<ServerConnection>> stalled;
+    for (const auto& [key, connection] : m_connections) {
+        if (connection->isStalled(now, stallTime))
+            stalled.push_back(connection);
+    }
+    std::sort(stalled.begin(), stalled.end(),
+        [](const auto& a, const auto& b) { return a->lastActivity() < b->lastActivity(); });
+    stalled.resize(std::min(stalled.size(), closedAtATime()));
+    for (const auto& connection : stalled)
+        connection->rejectStalledRequest();
+}
+
+bool HttpServer::closeLingering()
+{
+    std::shared_ptr<ServerConnection> oldest;
+    for (const auto& [key, connection] : m_connections) {
+        if (connection->isLingering() && (!oldest || connection->lastActivity() < oldest->lastActivity()))
+            oldest = connection;
+    }
+    if (!oldest)
+        return false;
+    oldest->close(oldest->end().reason);
+    return true;
+}
+
+std::size_t HttpServer::closedAtATime() const { return std::max<std::size_t>(m_maximumConnections / closedPart, 1); }
+
 void HttpServer::drain()
 {
     m_isDraining = true;
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -42,6 +42,7 @@
         case RefusalCause::TooSlow:
             return http::status::request_timeout;
         case RefusalCause::Memory:
+        case RefusalCause::Connections:
         case RefusalCause::Stopping:
             break;
         }
@@ -93,7 +94,8 @@
     , m_onRequest(std::move(onRequest))
     , m_onClosed(std::move(onClosed))
     , m_onRefused(std::move(onRefused))
-    , m_lastActivity(Clock::now())
+    , m_lastInput(Clock::now())
+    , m_lastActivity(m_lastInput)
     , m_idleTimeout(limits.idleTimeout)
 {
     if (m_bytes)
@@ -135,6 +137,7 @@
         return;
     }
     m_buffer.commit(bytes);
+    m_lastInput = Clock::now();
     // After a delay, of the accept or of this process, the caller may have left already; its request is not to run.
     if (pendingInput(m_socket) == PendingInput::End) {
         close(CloseReason::CallerClosed);
@@ -310,6 +313,11 @@
         rejectInput(RefusalCause::Stopping);
 }
 
+bool ServerConnection::isStalled(Clock::time_point now, Duration time) const
+{
+    return m_isReadingRequest && m_acceptsRequests && !m_isClosed && now - m_lastInput >= time;
+}
+
 void ServerConnection::noteExpectation()
 {
     m_owesContinue = !m_parser->is_done() && headerValue(m_parser->get(), "Expect").has_value();
--- a/libs/http/tests/MessageMemoryTest.cpp
+++ b/libs/http/tests/MessageMemoryTest.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(stalledRequestGivesWay);
     CPPUNIT_TEST(openRequestsAreCounted);
     CPPUNIT_TEST(callerThatTakesNothingGivesWay);
+    CPPUNIT_TEST(stalledRequestsMakeRoomForConnections);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -173,6 +174,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, other.available());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, loopback.server.endedConnections().at(CloseReason::Memory));
     }
+
+    /** Connections with half a request kept everybody else out until their time limit. */
+    void stalledRequestsMakeRoomForConnections()
+    {
+        HttpServerLimits limits;
+        limits.headerTimeout = 60s;
+        BoundedLoopback bounded(limits, 10);
+        auto& loopback = bounded.loopback;
+        for (int i = 0; i < 12; ++i)
+            bounded.sendOnAnother(i % 2 == 0 ? post(100, 50) : "GET / HT");
+        loopback.connect();
+        loopback.send(get("/ordinary"));
+        CPPUNIT_ASSERT(loopback.receives("/ordinary", 10s));
+        CPPUNIT_ASSERT(loopback.server.refusedInput().at(RefusalCause::Connections) > 0);
+        CPPUNIT_ASSERT(loopback.server.connectionCount() <= 10);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageMemoryTest);
