--- a/tests/misbehaving/MisbehavingCallersTest.cpp
+++ b/tests/misbehaving/MisbehavingCallersTest.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <iostream>
 #include <stdexcept>
 #include <thread>
 
@@ -98,12 +99,12 @@
 
 std::filesystem::path programDirectory() { return std::filesystem::read_symlink("/proc/self/exe").parent_path(); }
 
-void playCrowd(DeploymentUnderTest& deployment, const std::string& listener, Misbehavior misbehavior)
+void playCrowd(DeploymentUnderTest& deployment, const std::string& listener, soak::Misbehavior misbehavior)
 {
     const auto target = deployment.listener(listener);
     const auto callers = deployment.listener("caller");
     ProcessWatch watch(deployment.process(), deployment.ip(), LoweredLimits::memory);
-    CallerCrowd crowd({ target.address, target.crowdHead, misbehavior, crowdCallers, LoweredLimits::body });
+    soak::CallerCrowd crowd({ target.address, target.crowdHead, misbehavior, crowdCallers, LoweredLimits::body });
     crowd.send();
     const auto found = [&] {
         return "memory " + std::to_string(watch.peaks().memory) + ", descriptors "
@@ -118,6 +119,7 @@
     const auto status = target.ordinaryRequest.empty() ? 200 : ordinaryStatus(target.address, target.ordinaryRequest);
     const auto callerStatus = ordinaryStatus(callers.address, callers.ordinaryRequest);
     checkProcess();
+    std::cout << listener << ", " << enumName(misbehavior) << ": " << found() << '\n';
     CPPUNIT_ASSERT_EQUAL_MESSAGE("at the same listener; " + found(), 200, status);
     CPPUNIT_ASSERT_EQUAL_MESSAGE("at the listener for callers; " + found(), 200, callerStatus);
 }
--- a/tests/misbehaving/MisbehavingCallersTest.h
+++ b/tests/misbehaving/MisbehavingCallersTest.h
@@ -84,7 +84,7 @@
 };
 
 /** Plays the misbehavior at the listener with this name. */
-void playCrowd(DeploymentUnderTest&, const std::string& listener, Misbehavior);
+void playCrowd(DeploymentUnderTest&, const std::string& listener, soak::Misbehavior);
 /** Sends the largest request that the limits allow, without any other. */
 void playLargestRequest(DeploymentUnderTest&);
 
@@ -102,7 +102,7 @@
     {
         auto suite = std::make_unique<CppUnit::TestSuite>("MisbehavingCallers");
         for (const auto& listener : m_listeners) {
-            for (const auto& [misbehavior, name] : enumNames<Misbehavior>) {
+            for (const auto& [misbehavior, name] : enumNames<soak::Misbehavior>) {
                 suite->addTest(new MisbehavingCallersTest(
                     listener + "-" + std::string(name), [listener, misbehavior = misbehavior] {
                         Deployment deployment;
--- a/tests/misbehaving/ProcessWatch.cpp
+++ b/tests/misbehaving/ProcessWatch.cpp
@@ -15,17 +15,6 @@
 
     constexpr std::chrono::milliseconds sampleInterval { 5 };
 
-    /** A field of /proc/PID/status that the kernel gives in KiB. */
-    std::uint64_t statusBytes(const std::string& directory, const std::string& name)
-    {
-        std::ifstream file(directory + "/status");
-        for (std::string line; std::getline(file, line);) {
-            if (line.starts_with(name + ":"))
-                return std::stoull(line.substr(name.size() + 1)) * 1024;
-        }
-        return 0;
-    }
-
     std::uint64_t countDescriptors(const std::string& directory)
     {
         std::error_code ec;
@@ -92,8 +81,8 @@
 {
     while (!m_isEnding && m_process.isRunning()) {
         const auto directory = "/proc/" + std::to_string(m_process.id());
-        raise(m_memory, statusBytes(directory, "VmRSS") + unreadBytes(m_ip));
-        raise(m_memory, statusBytes(directory, "VmHWM"));
+        raise(m_memory, m_process.residentBytes() + unreadBytes(m_ip));
+        raise(m_memory, m_process.mostResidentBytes());
         raise(m_descriptors, countDescriptors(directory));
         if (m_memory > m_memoryLimit)
             m_process.signal(SIGKILL);
