--- a/libs/http/fuzz/RequestFuzzer.cpp
+++ b/libs/http/fuzz/RequestFuzzer.cpp
@@ -51,8 +51,8 @@
             std::move(socket), limits, nullptr,
             [&](const std::shared_ptr<HttpExchange>& exchange) {
                 const auto& request = exchange->request;
-                reading.requests.push_back(
-                    std::string(request.method_string()) + ' ' + std::string(request.target()) + '\n' + request.body().text());
+                reading.requests.push_back(std::string(request.method_string()) + ' ' + std::string(request.target())
+                    + '\n' + request.body().text());
                 exchange->respond(makeResponse(boost::beast::http::status::ok, "text/plain", "ok"));
             },
             [](ServerConnection&) {});
