--- a/libs/http/fuzz/RequestFuzzer.cpp
+++ b/libs/http/fuzz/RequestFuzzer.cpp
@@ -20,6 +20,8 @@
 
     namespace asio = boost::asio;
 
+    constexpr std::size_t accountBytes = 16'777'216; // More than all requests of an input take.
+
     struct Reading {
         std::vector<std::string> requests;
         std::string answers;
@@ -47,8 +49,9 @@
         // the cut may decide about a head that is slightly too long.
         limits.headerBytes = 65'536;
         limits.bodyBytes = 2'048;
-        const auto connection = std::make_shared<ServerConnection>(
-            std::move(socket), limits, nullptr,
+        const auto account = std::make_shared<ByteAccount>(accountBytes);
+        auto connection = std::make_shared<ServerConnection>(
+            std::move(socket), limits, account,
             [&](const std::shared_ptr<HttpExchange>& exchange) {
                 const auto& request = exchange->request;
                 reading.requests.push_back(std::string(request.method_string()) + ' ' + std::string(request.target())
@@ -68,6 +71,11 @@
         runReady(context);
         connection->close(CloseReason::Stopped);
         runReady(context);
+        connection.reset();
+        if (account->held() != 0) {
+            std::fprintf(stderr, "%zu bytes are still claimed\n", account->held());
+            std::abort();
+        }
         return reading;
     }
 
