--- a/libs/http/tests/MessageMemoryTest.cpp
+++ b/libs/http/tests/MessageMemoryTest.cpp
@@ -3,12 +3,15 @@
 
 #include "LoopbackCaller.h"
 
+#include "support/ManyReadableSockets.h"
+
 #include <boost/asio/read.hpp>
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace peridot;
@@ -68,6 +71,7 @@
     CPPUNIT_TEST(openRequestsAreCounted);
     CPPUNIT_TEST(callerThatTakesNothingGivesWay);
     CPPUNIT_TEST(stalledRequestsMakeRoomForConnections);
+    CPPUNIT_TEST(lateProcessRefusesNoRequestThatHasArrived);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -192,6 +196,22 @@
         CPPUNIT_ASSERT(loopback.server.refusedInput().at(RefusalCause::Connections) > 0);
         CPPUNIT_ASSERT(loopback.server.connectionCount() <= 10);
     }
+
+    /** After a pause of the process its timers run before what came meanwhile is read. */
+    void lateProcessRefusesNoRequestThatHasArrived()
+    {
+        BoundedLoopback bounded({}, 10);
+        auto& loopback = bounded.loopback;
+        for (int i = 0; i < 8; ++i)
+            bounded.sendOnAnother(post(100, 50));
+        const ManyReadableSockets others(loopback.context);
+        std::this_thread::sleep_for(1'500ms);
+        for (auto& caller : bounded.others)
+            asio::write(caller, asio::buffer(std::string(50, 'b')));
+        loopback.run(500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 8 }, loopback.exchanges.size());
+        CPPUNIT_ASSERT(loopback.server.refusedInput().empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageMemoryTest);
