http: a refusal reaches a caller that sends its whole body first

Callers saw: a reset connection in place of the 503 or 413 if their body took longer than a second to send. A closed connection promises nothing, so that a request that may run once was not sent again.

Cause: a connection drops input for a second after its last answer and closes then, whether or not more is coming. Unread bytes reset it, and the kernel discards the answer.

Evidence: refusalReachesACallerThatSendsItsBodyFirst fails before (broken pipe while the body is sent).

Change: input is dropped until none has come for a second, 5 s at most.

--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -18,9 +18,11 @@
 namespace {
 
     constexpr std::size_t readSize = 8'192; // One read; most requests fit.
-    // After the last answer of a connection that still receives input, input is dropped for this long, because closing
-    // with unread bytes resets the connection and could destroy the answer on its way.
+    // After the last answer of a connection, input is dropped until none has come for this long, because closing with
+    // unread bytes resets the connection and could destroy the answer on its way.
     constexpr std::chrono::seconds lingerTime { 1 };
+    // A caller that goes on sending, such as a body that was refused, reads its answer within this time or never.
+    constexpr std::chrono::seconds longestLinger { 5 };
     // Answers to slow readers wait this long for progress.
     constexpr std::chrono::seconds writeTimeout { 20 };
     // Memory of a connection without a request, beside its buffer.
@@ -131,13 +133,13 @@
         close(ec == asio::error::eof ? CloseReason::CallerClosed : CloseReason::Broken);
         return;
     }
+    m_lastInput = Clock::now();
     if (m_isLingering || !m_acceptsRequests) {
         noteDroppedInput(bytes);
         read();
         return;
     }
     m_buffer.commit(bytes);
-    m_lastInput = Clock::now();
     // After a delay, of the accept or of this process, the caller may have left already; its request is not to run.
     if (pendingInput(m_socket) == PendingInput::End) {
         close(CloseReason::CallerClosed);
@@ -462,7 +464,7 @@
         return;
     const auto passed = now - m_lastActivity;
     if (m_isLingering) {
-        if (passed > lingerTime)
+        if (now - std::max(m_lastActivity, m_lastInput) > lingerTime || passed > longestLinger)
             close(m_end.reason);
     } else if (m_writing) {
         if (passed > writeTimeout)
--- a/libs/http/tests/MessageMemoryTest.cpp
+++ b/libs/http/tests/MessageMemoryTest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST_SUITE(MessageMemoryTest);
     CPPUNIT_TEST(bodyWithoutRoomIsRefusedBeforeItComes);
     CPPUNIT_TEST(bodyOverTheLimitIsRefusedAsTooLarge);
+    CPPUNIT_TEST(refusalReachesACallerThatSendsItsBodyFirst);
     CPPUNIT_TEST(chunksAreCountedAsTheyCome);
     CPPUNIT_TEST(smallRequestIsServedBesideLargeOnes);
     CPPUNIT_TEST(stalledRequestGivesWay);
@@ -98,6 +99,18 @@
         CPPUNIT_ASSERT(bounded.loopback.received.find("Retry-After") == std::string::npos);
     }
 
+    /** The connection was reset a second after the refusal, and with it the statement that the request has not run. */
+    void refusalReachesACallerThatSendsItsBodyFirst()
+    {
+        BoundedLoopback bounded;
+        auto& caller = bounded.sendOnAnother(post(limit, 0));
+        for (int i = 0; i < 20; ++i) {
+            asio::write(caller, asio::buffer(std::string(limit / 20, 'b')));
+            bounded.loopback.run(100ms);
+        }
+        CPPUNIT_ASSERT(BoundedLoopback::receivedOn(caller).starts_with("HTTP/1.1 503 "));
+    }
+
     void chunksAreCountedAsTheyCome()
     {
         BoundedLoopback bounded;
