review: a row without the fields of an entry names a target that is used

Cause: version, seq, cold_left and born of a server's entry are checked only if they are there. Nothing is fixed.

--- a/review/common-2/StandIns.h
+++ b/review/common-2/StandIns.h
@@ -293,12 +293,24 @@
         writeEntry();
     }
 
+    /** Removes its entry and writes none any more. It serves on. */
+    void unregister()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_isRegistered = false;
+        }
+        m_store.remove("servers", m_id);
+    }
+
 private:
     void writeEntry()
     {
         json entry;
         {
             const std::lock_guard lock(m_mutex);
+            if (!m_isRegistered)
+                return;
             const auto left = std::chrono::duration_cast<Milliseconds>(m_coldUntil - Clock::now()).count();
             entry = { { "address", addressText(m_listener.port()) }, { "born", s_firstBorn + m_starts },
                 { "info", { { "service", m_service }, { "version", "v1" }, { "zone", m_zone }, { "slots", m_slots } } },
@@ -355,6 +367,7 @@
     std::uint64_t m_sequence = 0;
     Clock::time_point m_coldUntil {};
     bool m_isOver = false;
+    bool m_isRegistered = true;
     std::thread m_heart;
     Listener m_listener;
 };
