http: bound fields and trailers before Beast parses them

Cause: Beast keeps the lengths of a field's name and value in 16 bits and throws std::length_error above 65,533 bytes. Its limit for heads doesn't hold for trailers; our own limit was compared with what the parser had left, so a trailer that came whole in one read passed it. Nothing caught the exception between the socket's handler and the event loop.

Change: BoundedParser checks the lines of a head, and each chunk header with the trailer behind the last one, before Beast parses them, and turns what Beast throws into an error. Responses (peridot-entry, and peridotd, peridotctl, peridot-load through StrictHttpClient) and requests use it. It works because the check sees the whole chunk header in the callback that Beast calls before it stores anything, so that it doesn't depend on how reads cut the input. Fields within Beast's limit pass as before: a request with a value of 65,533 bytes where header_bytes allows it, an answer with a trailer of 3,000.

Tests: BrokenHeads.h has long names, values, trailers and chunk extensions, and many small ones, for all eight tests that use it.

--- a/libs/http/include/http/MessageHeaders.h
+++ b/libs/http/include/http/MessageHeaders.h
@@ -19,6 +19,11 @@
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 using HttpFields = boost::beast::http::fields;
 
+// Of a field's name, and of its value. Beast keeps their lengths in 16 bits and throws for more.
+inline constexpr std::size_t maximumFieldBytes = 65'533;
+
+inline constexpr std::string_view endOfHead = "\r\n\r\n";
+
 /** A response of this process, with its length. */
 HttpResponse makeResponse(boost::beast::http::status, std::string_view contentType, std::string body);
 
@@ -33,6 +38,9 @@
  *  unparsed from its start line on, or from one of the lines behind it. */
 bool hasFoldedLine(std::string_view unparsed, bool isStartLineParsed);
 
+/** Whether a field in @p unparsed, a head or trailer as for hasFoldedLine(), is longer than maximumFieldBytes. */
+bool hasOversizedField(std::string_view unparsed, bool isStartLineParsed);
+
 /** Parses a whole decimal number without sign. */
 std::optional<std::uint64_t> parseNumber(std::string_view text) noexcept;
 
--- a/libs/http/include/http/ResponseParser.h
+++ b/libs/http/include/http/ResponseParser.h
@@ -2,26 +2,21 @@
 
 #pragma once
 
-#include "http/MessageHeaders.h"
+#include "http/BoundedParser.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/message.hpp>
 
 #include <tl/expected.hpp>
 
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
 
 namespace peridot {
 
-// Bytes that the parser leaves are the start of a header, a chunk header or a trailer. Beast limits the size of headers
-// only.
-inline constexpr std::size_t unparsedResponseBytes = 65'536;
 // A server that sends more responses to other requests, or more informational ones, is faulty.
 inline constexpr unsigned maximumSkippedResponses = 16;
 
@@ -33,31 +28,25 @@
 /** Parses one response, final or informational. Not to be moved while it parses. */
 template <typename Body> class ResponseParser {
 public:
-    using Parser = boost::beast::http::response_parser<Body>;
+    using Parser = BoundedParser<false, Body>;
 
     /** @p bodyLimit is in bytes. A response to HEAD has no body. */
     ResponseParser(std::uint64_t bodyLimit, bool isToHead)
+        : m_parser(s_chunkHeaderLimit)
     {
         m_parser.header_limit(s_headerLimit);
         m_parser.body_limit(bodyLimit);
         m_parser.skip(isToHead);
-        m_parser.on_chunk_header(m_onChunkHeader);
     }
 
-    ResponseParser(const ResponseParser&) = delete;
-    ResponseParser& operator=(const ResponseParser&) = delete;
-
     /** Parses @p input, which begins with what the last call left. Returns the number of bytes that were parsed, or why
      *  they are malformed. */
     tl::expected<std::size_t, std::string> put(boost::asio::const_buffer input)
     {
         std::size_t parsed = 0;
         if (!m_parser.is_header_done()) {
-            if (hasFoldedLine(textOf(input), m_isStatusLineParsed))
-                return tl::make_unexpected(std::string(s_foldedLine));
             if (const auto error = parse(input, parsed))
                 return tl::make_unexpected(*error);
-            m_isStatusLineParsed = m_isStatusLineParsed || parsed > 0;
             if (!m_parser.is_header_done())
                 return parsed;
             if (const auto fault = findFault(m_parser.get()))
@@ -89,41 +78,19 @@
 
 private:
     static constexpr std::uint32_t s_headerLimit = 32'768; // Bytes; twice what callers may send by default.
-    static constexpr std::string_view s_foldedLine = "a line that begins with whitespace";
-
-    static std::string_view textOf(boost::asio::const_buffer input)
-    {
-        return { static_cast<const char*>(input.data()), input.size() };
-    }
+    static constexpr std::size_t s_chunkHeaderLimit = 65'536; // Bytes.
 
     /** Parses what is behind the first @p parsed bytes, and counts them. */
     std::optional<std::string> parse(boost::asio::const_buffer input, std::size_t& parsed)
     {
         boost::system::error_code ec;
-        m_inputEnd = static_cast<const char*>(input.data()) + input.size();
-        m_hasFoldedTrailer = false;
         parsed += m_parser.put(input + parsed, ec);
-        if (m_hasFoldedTrailer)
-            return std::string(s_foldedLine);
         if (ec && ec != boost::beast::http::error::need_more)
-            return ec.message();
+            return m_parser.fault(ec);
         return std::nullopt;
     }
 
     Parser m_parser;
-    bool m_isStatusLineParsed = false;
-    const char* m_inputEnd = nullptr; // Of the input that is parsed.
-    bool m_hasFoldedTrailer = false;
-    // Called before a chunk is parsed; the last chunk, once the input holds the whole trailer behind it.
-    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code&)> m_onChunkHeader
-        = [this](std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code& ec) {
-              if (size > 0)
-                  return;
-              const auto* trailer = extensions.data() + extensions.size();
-              m_hasFoldedTrailer = hasFoldedLine({ trailer, static_cast<std::size_t>(m_inputEnd - trailer) }, false);
-              if (m_hasFoldedTrailer)
-                  ec = boost::beast::http::error::bad_field;
-          };
 };
 
 }
--- a/libs/http/include/http/ServerConnection.h
+++ b/libs/http/include/http/ServerConnection.h
@@ -5,13 +5,13 @@
 #include "base/EnumNames.h"
 #include "base/SteadyTime.h"
 #include "base/Time.h"
+#include "http/BoundedParser.h"
 #include "http/ByteAccount.h"
 #include "http/MessageHeaders.h"
 #include "http/PendingInput.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 
 #include <chrono>
@@ -166,7 +166,7 @@
 
 private:
     friend class HttpExchange;
-    using Parser = boost::beast::http::request_parser<RequestBody>;
+    using Parser = BoundedParser<true, RequestBody>;
 
     void read();
     void onRead(const boost::system::error_code&, std::size_t bytes);
@@ -179,7 +179,6 @@
     bool claimInput();
     void endRevoked(std::uint64_t request);
     void endRevoked(const std::weak_ptr<HttpExchange>& answered);
-    bool headerIsSound() const;
     void finishRequest();
     /** Answers a request that could not be read, behind the answers that are due before it, and ends the connection. */
     void rejectInput(RefusalCause);
@@ -216,7 +215,6 @@
     // The limit when the connection became idle. The caller may rely on it if a later configuration has a shorter one.
     Duration m_idleTimeout;
     bool m_isReadingRequest = false; // Part of a request has been read.
-    bool m_isRequestLineRead = false; // The parser has taken it; the rest of the head is still in the buffer.
     bool m_isHeaderRead = false;
     bool m_owesContinue = false; // The caller waits for leave to send its body.
     bool m_isReading = false; // A read operation is open.
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -285,9 +285,7 @@
             return;
         }
         if (!m_parser->isDone()) {
-            if (m_buffer.size() > unparsedResponseBytes)
-                fail("malformed response: a header or chunk header without an end", true);
-            else if (!claimBytes())
+            if (!claimBytes())
                 fail(noRoomMessage, true);
             return;
         }
--- a/libs/http/src/MessageHeaders.cpp
+++ b/libs/http/src/MessageHeaders.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 #include <string>
 #include <utility>
@@ -15,6 +16,29 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+    constexpr std::string_view newline = "\r\n";
+
+    /** The lines of a head in @p unparsed; see hasFoldedLine(). */
+    std::string_view headOf(std::string_view unparsed, bool isStartLineParsed)
+    {
+        // An empty line behind the lines that are parsed ends the head.
+        if (isStartLineParsed && unparsed.starts_with(newline))
+            return {};
+        return unparsed.substr(0, unparsed.find(endOfHead));
+    }
+
+    /** The last line of an unfinished head may lack the second half of its end. */
+    std::string_view trimmed(std::string_view value)
+    {
+        constexpr auto blanks = " \t\r";
+        value.remove_prefix(std::min(value.find_first_not_of(blanks), value.size()));
+        return value.substr(0, value.find_last_not_of(blanks) + 1);
+    }
+
+}
+
 HttpResponse makeResponse(http::status status, std::string_view contentType, std::string body)
 {
     HttpResponse response(status, 11);
@@ -39,13 +63,28 @@
 
 bool hasFoldedLine(std::string_view unparsed, bool isStartLineParsed)
 {
-    // An empty line behind the lines that are parsed ends the head.
-    if (isStartLineParsed && unparsed.starts_with("\r\n"))
-        return false;
-    const auto head = unparsed.substr(0, unparsed.find("\r\n\r\n"));
+    const auto head = headOf(unparsed, isStartLineParsed);
     return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
 }
 
+bool hasOversizedField(std::string_view unparsed, bool isStartLineParsed)
+{
+    if (unparsed.size() <= maximumFieldBytes)
+        return false;
+    auto lines = headOf(unparsed, isStartLineParsed);
+    while (lines.size() > maximumFieldBytes) {
+        const auto line = lines.substr(0, lines.find(newline));
+        const auto colon = line.find(':');
+        const auto value = colon == std::string_view::npos ? std::string_view {} : trimmed(line.substr(colon + 1));
+        const bool isOversized = std::max(line.substr(0, colon).size(), value.size()) > maximumFieldBytes;
+        if (isStartLineParsed && isOversized)
+            return true;
+        isStartLineParsed = true;
+        lines.remove_prefix(std::min(line.size() + newline.size(), lines.size()));
+    }
+    return false;
+}
+
 std::map<std::string, std::string> queryParameters(std::string_view target)
 {
     std::map<std::string, std::string> parameters;
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -160,20 +160,16 @@
             return true;
         if (!m_parser)
             beginRequest();
-        if (!m_isHeaderRead && !headerIsSound()) {
-            rejectInput(RefusalCause::Malformed);
-            return true;
-        }
         if (!claimInput()) {
             rejectInput(RefusalCause::Memory);
             return true;
         }
+        const bool wasRequestLineRead = m_parser->isStartLineParsed();
         error_code ec;
         const auto consumed = m_parser->put(m_buffer.data(), ec);
         m_buffer.consume(consumed);
         m_receivedBytes += consumed;
-        if (consumed > 0 && !m_parser->is_header_done() && !m_isRequestLineRead) {
-            m_isRequestLineRead = true;
+        if (consumed > 0 && !m_parser->is_header_done() && !wasRequestLineRead) {
             // The parser counts what is in the buffer.
             m_parser->header_limit(
                 static_cast<std::uint32_t>(m_limits.headerBytes - std::min(consumed, m_limits.headerBytes)));
@@ -194,12 +190,8 @@
             }
             noteExpectation();
         }
-        if (ec == http::error::need_more) {
-            // What the parser leaves is the start of a header, a chunk header or a trailer. It limits headers only.
-            if (m_buffer.size() > m_limits.headerBytes)
-                rejectInput(RefusalCause::HeaderTooLarge);
+        if (ec == http::error::need_more)
             return true;
-        }
         if (m_parser->is_done())
             finishRequest();
     }
@@ -208,12 +200,11 @@
 
 void ServerConnection::beginRequest()
 {
-    m_parser = std::make_unique<Parser>();
+    m_parser = std::make_unique<Parser>(m_limits.headerBytes);
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
     m_parser->body_limit(m_limits.bodyBytes);
     m_parser->eager(true);
     m_isReadingRequest = true;
-    m_isRequestLineRead = false;
     m_isHeaderRead = false;
     m_headBytes = 0;
     m_receivedBytes = 0;
@@ -265,12 +256,6 @@
         close(CloseReason::Memory);
 }
 
-bool ServerConnection::headerIsSound() const
-{
-    const auto data = m_buffer.data();
-    return !hasFoldedLine({ static_cast<const char*>(data.data()), data.size() }, m_isRequestLineRead);
-}
-
 void ServerConnection::finishRequest()
 {
     auto exchange = std::make_shared<HttpExchange>(weak_from_this());
--- a/libs/http/tests/ServerConnectionTest.cpp
+++ b/libs/http/tests/ServerConnectionTest.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(emptyHeaderAfterASplitIsRead);
     CPPUNIT_TEST(oversizedInputIsRefused);
     CPPUNIT_TEST(headerLimitCountsTheRequestLine);
+    CPPUNIT_TEST(fieldBeyondTheLibrarysLimitIsRefused);
+    CPPUNIT_TEST(trailerBeyondTheHeaderLimitIsRefused);
     CPPUNIT_TEST(slowHeaderIsEnded);
     CPPUNIT_TEST(idleConnectionIsClosed);
     CPPUNIT_TEST(callerThatLeavesIsNoticed);
@@ -143,6 +145,59 @@
         }
     }
 
+    /** Beast throws for a field of more than 65,533 bytes, and nothing caught that: where an operator allows such
+     * heads, one request ended the process. */
+    void fieldBeyondTheLibrarysLimitIsRefused()
+    {
+        HttpServerLimits limits;
+        limits.headerBytes = 200'000;
+        for (const std::size_t length : { 65'532, 65'533, 65'534, 66'000, 131'072 }) {
+            const std::string filling(length, 'x');
+            const auto inHead = [](const std::string& field) { return get("/a", field + "\r\n"); };
+            const auto inTrailer = [](const std::string& field) {
+                return "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" + field
+                    + "\r\n\r\n";
+            };
+            for (const auto& field : { "X-Long: " + filling, "X-Long: \t " + filling, filling + ": 1" }) {
+                for (const auto& request : { inHead(field), inTrailer(field) }) {
+                    for (const bool isCut : { false, true }) {
+                        Loopback loopback(limits);
+                        loopback.send(request.substr(0, isCut ? request.size() - 3 : request.size()));
+                        loopback.run(5ms);
+                        if (isCut)
+                            loopback.send(request.substr(request.size() - 3));
+                        const auto description = std::to_string(length) + field.substr(0, 10);
+                        const bool isRefused = length > 65'533;
+                        CPPUNIT_ASSERT_MESSAGE(description, loopback.receives(isRefused ? "HTTP/1.1 431" : "/a"));
+                        CPPUNIT_ASSERT_EQUAL_MESSAGE(description, isRefused, loopback.exchanges.empty());
+                        if (!isRefused && field.starts_with("X-Long"))
+                            CPPUNIT_ASSERT(loopback.exchanges[0]->request["X-Long"] == filling);
+                    }
+                }
+            }
+        }
+    }
+
+    /** A trailer that came whole in one read was taken whatever its size. */
+    void trailerBeyondTheHeaderLimitIsRefused()
+    {
+        HttpServerLimits limits;
+        limits.headerBytes = 4'000;
+        const std::string head
+            = "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-T: ";
+        for (const std::size_t length : { 3'000, 4'001 }) {
+            for (const std::size_t cut : { std::size_t { 0 }, std::size_t { 50 }, head.size() + length }) {
+                Loopback loopback(limits);
+                const auto request = head + std::string(length, 'x') + "\r\n\r\n";
+                loopback.send(request.substr(0, cut));
+                loopback.run(5ms);
+                loopback.send(request.substr(cut));
+                CPPUNIT_ASSERT(loopback.receives(length > 4'000 ? "HTTP/1.1 431" : "/a"));
+                CPPUNIT_ASSERT_EQUAL(length > 4'000, loopback.exchanges.empty());
+            }
+        }
+    }
+
     void slowHeaderIsEnded()
     {
         HttpServerLimits limits;
--- a/libs/rest/src/StrictHttpClient.cpp
+++ b/libs/rest/src/StrictHttpClient.cpp
@@ -454,11 +454,8 @@
             }
             if (m_parser->isHeaderDone() && !isInformational())
                 passOn();
-            if (!m_parser->isDone()) {
-                if (m_buffer.size() > unparsedResponseBytes)
-                    failMalformed("a header or chunk header without an end");
+            if (!m_parser->isDone())
                 return;
-            }
             if (!isInformational()) {
                 finish();
                 return;
--- a/tests/support/BrokenHeads.h
+++ b/tests/support/BrokenHeads.h
@@ -34,6 +34,9 @@
     return names;
 }
 
+/** Lengths of a field's name or value around the 65,533 bytes beyond which Beast throws. */
+inline constexpr std::array<std::size_t, 3> oversizedLengths { 65'533, 65'534, 66'000 };
+
 /** Responses to a request with @p headers in the final head. The faults stand in the status line, before and behind the
  *  other fields, in an informational response, behind one, and in the trailer. */
 inline std::vector<BrokenHead> brokenHeads(const std::string& headers, const std::string& body = "one, two")
@@ -81,6 +84,24 @@
     }
     for (const std::string name : { "Transfer-Encoding ", " Transfer-Encoding", "Transfer-Encoding\t" })
         add("coding of the body", ok + fields, name + ": chunked\r\n", "\r\n3\r\none\r\n0\r\n\r\n");
+    // No length that a library can't hold may reach it.
+    const auto beginning = ok + headers + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto length : oversizedLengths) {
+        const std::string filling(length, 'x');
+        for (const auto& line : { "X-Fault: " + filling + "\r\n", filling + ": 1\r\n" }) {
+            add("long last field", ok + fields, line, "\r\n" + body);
+            add("long field of an informational response", hints, line, "\r\n" + final);
+            add("long trailer", chunks, line, "\r\n");
+            add("long trailer behind another field", chunks + "X-Trailer: t\r\n", line, "\r\n");
+        }
+        add("long extension of a chunk", beginning + "3;", filling, "\r\none\r\n0\r\n\r\n");
+        add("long extension of the last chunk", beginning + "3\r\none\r\n0;", filling, "\r\n\r\n");
+    }
+    std::string lines;
+    while (lines.size() <= oversizedLengths.back())
+        lines += "X-Fault: 1\r\n";
+    add("many fields", ok + fields, lines, "\r\n" + body);
+    add("many trailers", chunks, lines, "\r\n");
     return heads;
 }
 
@@ -107,6 +128,10 @@
     heads.push_back({ "HTTP/1.1 200 OK\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n8;a=b\r\n" + body
             + "\r\n0\r\nX-Trailer: t\r\n\r\n",
         200, "" });
+    const auto trailer = "X-Trailer: " + std::string(3'000, 't');
+    heads.push_back({ "HTTP/1.1 200 OK\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n8\r\n" + body + "\r\n0\r\n"
+            + trailer + "\r\n\r\n",
+        200, trailer });
     return heads;
 }
 
