http: count a head against its limit however reads cut it

Beast's header_limit holds for the bytes that one call gets: the start line and the fields had the whole limit each, and fields taken from an earlier read no longer counted. A head of 34,039 bytes of a server was taken although the limit is 32,768, and a request of 301 bytes where 300 are allowed.

BoundedParser counts the bytes of a head that are parsed and those that wait, and refuses the head before Beast sees what exceeds the limit. The correction for the request line in ServerConnection goes.

--- a/libs/http/include/http/BoundedParser.h
+++ b/libs/http/include/http/BoundedParser.h
@@ -15,8 +15,10 @@
 #include <cstdint>
 #include <exception>
 #include <functional>
+#include <limits>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace peridot {
 
@@ -28,10 +30,13 @@
     using ErrorCode = boost::system::error_code;
 
 public:
-    /** A chunk header takes at most @p chunkHeaderLimit bytes; the last one with the trailer. */
-    explicit BoundedParser(std::size_t chunkHeaderLimit)
-        : m_chunkHeaderLimit(chunkHeaderLimit)
+    /** Limits in bytes: of a head with its start line, and of a chunk header, the last one with the trailer. */
+    BoundedParser(std::size_t headLimit, std::size_t chunkHeaderLimit)
+        : m_headLimit(headLimit)
+        , m_chunkHeaderLimit(chunkHeaderLimit)
     {
+        // Beast's own limit is one of the bytes that a call gets.
+        Base::header_limit(std::numeric_limits<std::uint32_t>::max());
         Base::on_chunk_header(m_onChunkHeader);
     }
 
@@ -45,7 +50,7 @@
         m_input = { static_cast<const char*>(input.data()), input.size() };
         m_fault.clear();
         if (!this->is_header_done()) {
-            checkFields(m_input, m_isStartLineParsed, ec);
+            checkHead(ec);
             if (ec)
                 return 0;
         }
@@ -56,15 +61,14 @@
             refuse(boost::beast::http::error::bad_field, error.what(), ec);
             return 0;
         }
-        m_isStartLineParsed = m_isStartLineParsed || parsed > 0;
+        if (!this->is_header_done())
+            m_parsedHeadBytes += parsed;
         const bool isChunkHeaderOpen = ec == boost::beast::http::error::need_more && this->is_header_done();
         if (isChunkHeaderOpen && input.size() - parsed > m_chunkHeaderLimit)
             refuseChunkHeader(ec);
         return parsed;
     }
 
-    /** Whether the request line or status line is parsed. */
-    bool isStartLineParsed() const noexcept { return m_isStartLineParsed; }
     /** Describes the error of the last put(). */
     std::string fault(const ErrorCode& ec) const { return m_fault.empty() ? ec.message() : m_fault; }
 
@@ -80,6 +84,15 @@
         refuse(boost::beast::http::error::header_limit, "a chunk header or trailer that is too long", ec);
     }
 
+    void checkHead(ErrorCode& ec)
+    {
+        const bool isStartLineParsed = m_parsedHeadBytes > 0;
+        if (m_parsedHeadBytes + headSize(m_input, isStartLineParsed) > m_headLimit)
+            refuse(boost::beast::http::error::header_limit, "a head that is too long", ec);
+        else
+            checkFields(m_input, isStartLineParsed, ec);
+    }
+
     /** @p lines are those of a head, as for hasFoldedLine(), or of a trailer. */
     void checkFields(std::string_view lines, bool isStartLineParsed, ErrorCode& ec)
     {
@@ -110,9 +123,10 @@
             checkFields(trailer, false, ec);
     }
 
+    const std::size_t m_headLimit;
     const std::size_t m_chunkHeaderLimit;
     std::string_view m_input; // Of the running put().
-    bool m_isStartLineParsed = false;
+    std::size_t m_parsedHeadBytes = 0; // While the head is not whole. Beast parses the start line first.
     bool m_hasChunks = false; // The header of the first chunk is parsed.
     std::string m_fault; // Empty: Beast's own error, or none.
     std::function<void(std::uint64_t, boost::beast::string_view, ErrorCode&)> m_onChunkHeader
--- a/libs/http/include/http/MessageHeaders.h
+++ b/libs/http/include/http/MessageHeaders.h
@@ -38,6 +38,9 @@
  *  unparsed from its start line on, or from one of the lines behind it. */
 bool hasFoldedLine(std::string_view unparsed, bool isStartLineParsed);
 
+/** Bytes of the head in @p unparsed, as for hasFoldedLine(), with its end if that has come. */
+std::size_t headSize(std::string_view unparsed, bool isStartLineParsed);
+
 /** Whether a field in @p unparsed, a head or trailer as for hasFoldedLine(), is longer than maximumFieldBytes. */
 bool hasOversizedField(std::string_view unparsed, bool isStartLineParsed);
 
--- a/libs/http/include/http/ResponseParser.h
+++ b/libs/http/include/http/ResponseParser.h
@@ -32,9 +32,8 @@
 
     /** @p bodyLimit is in bytes. A response to HEAD has no body. */
     ResponseParser(std::uint64_t bodyLimit, bool isToHead)
-        : m_parser(s_chunkHeaderLimit)
+        : m_parser(s_headLimit, s_chunkHeaderLimit)
     {
-        m_parser.header_limit(s_headerLimit);
         m_parser.body_limit(bodyLimit);
         m_parser.skip(isToHead);
     }
@@ -77,7 +76,7 @@
     typename Parser::value_type release() { return m_parser.release(); }
 
 private:
-    static constexpr std::uint32_t s_headerLimit = 32'768; // Bytes; twice what callers may send by default.
+    static constexpr std::size_t s_headLimit = 32'768; // Bytes; twice what callers may send by default.
     static constexpr std::size_t s_chunkHeaderLimit = 65'536; // Bytes.
 
     /** Parses what is behind the first @p parsed bytes, and counts them. */
--- a/libs/http/src/MessageHeaders.cpp
+++ b/libs/http/src/MessageHeaders.cpp
@@ -67,6 +67,13 @@
     return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
 }
 
+std::size_t headSize(std::string_view unparsed, bool isStartLineParsed)
+{
+    const auto lines = headOf(unparsed, isStartLineParsed);
+    const auto end = lines.empty() ? newline : endOfHead;
+    return std::min(lines.size() + end.size(), unparsed.size());
+}
+
 bool hasOversizedField(std::string_view unparsed, bool isStartLineParsed)
 {
     if (unparsed.size() <= maximumFieldBytes)
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -164,16 +164,10 @@
             rejectInput(RefusalCause::Memory);
             return true;
         }
-        const bool wasRequestLineRead = m_parser->isStartLineParsed();
         error_code ec;
         const auto consumed = m_parser->put(m_buffer.data(), ec);
         m_buffer.consume(consumed);
         m_receivedBytes += consumed;
-        if (consumed > 0 && !m_parser->is_header_done() && !wasRequestLineRead) {
-            // The parser counts what is in the buffer.
-            m_parser->header_limit(
-                static_cast<std::uint32_t>(m_limits.headerBytes - std::min(consumed, m_limits.headerBytes)));
-        }
         if (ec && ec != http::error::need_more) {
             rejectInput(ec == http::error::header_limit ? RefusalCause::HeaderTooLarge
                     : ec == http::error::body_limit     ? RefusalCause::BodyTooLarge
@@ -200,8 +194,7 @@
 
 void ServerConnection::beginRequest()
 {
-    m_parser = std::make_unique<Parser>(m_limits.headerBytes);
-    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+    m_parser = std::make_unique<Parser>(m_limits.headerBytes, m_limits.headerBytes);
     m_parser->body_limit(m_limits.bodyBytes);
     m_parser->eager(true);
     m_isReadingRequest = true;
--- a/libs/http/tests/BrokenResponseTest.cpp
+++ b/libs/http/tests/BrokenResponseTest.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST(earlyResponseIsWholeIfItsConnectionWasClosed);
     CPPUNIT_TEST(ambiguousFramingIsRefused);
     CPPUNIT_TEST(brokenHeadIsRefused);
+    CPPUNIT_TEST(headBeyondTheLimitIsRefusedHoweverItIsCut);
     CPPUNIT_TEST(soundHeadIsTakenAsItIs);
     CPPUNIT_TEST(answerThatBreaksOffIsShorterThanAnnounced);
     CPPUNIT_TEST_SUITE_END();
@@ -234,6 +235,26 @@
         }
     }
 
+    /** Fields that the parser had taken from an earlier read didn't count. */
+    void headBeyondTheLimitIsRefusedHoweverItIsCut()
+    {
+        const std::string field = "X-Field: " + std::string(89, 'x') + "\r\n";
+        for (const std::size_t fields : { 320, 340 }) {
+            std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+            for (std::size_t i = 0; i < fields; ++i)
+                response += field;
+            response += "\r\n";
+            for (const std::size_t cut : { 0, 100, 10'000, 20'000, 32'000 }) {
+                OpenRequest request(m_context, m_acceptor);
+                request.readRequest();
+                request.send(response.substr(0, cut));
+                request.runReady();
+                request.sendIfOpen(response.substr(cut));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(cut), response.size() <= 32'768, request.isWhole());
+            }
+        }
+    }
+
     void soundHeadIsTakenAsItIs()
     {
         for (const auto& sound : soundHeads("X-Id: 1\r\n")) {
--- a/libs/http/tests/ServerConnectionTest.cpp
+++ b/libs/http/tests/ServerConnectionTest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(emptyHeaderAfterASplitIsRead);
     CPPUNIT_TEST(oversizedInputIsRefused);
     CPPUNIT_TEST(headerLimitCountsTheRequestLine);
+    CPPUNIT_TEST(headerLimitDoesNotDependOnTheCut);
     CPPUNIT_TEST(fieldBeyondTheLibrarysLimitIsRefused);
     CPPUNIT_TEST(trailerBeyondTheHeaderLimitIsRefused);
     CPPUNIT_TEST(slowHeaderIsEnded);
@@ -145,6 +146,28 @@
         }
     }
 
+    /** The request line and the header had the whole limit each if they came in one read. */
+    void headerLimitDoesNotDependOnTheCut()
+    {
+        HttpServerLimits limits;
+        limits.headerBytes = 300;
+        const std::string line = "GET /a HTTP/1.1\r\n";
+        const std::string field = "X-Long: ";
+        const auto rest = line.size() + field.size() + endOfHead.size();
+        for (const std::size_t size : { 300, 301 }) {
+            const auto request = line + field + std::string(size - rest, 'x') + std::string(endOfHead);
+            for (std::size_t cut = 0; cut < size; ++cut) {
+                Loopback loopback(limits);
+                loopback.send(request.substr(0, cut));
+                loopback.run(1ms);
+                loopback.send(request.substr(cut));
+                const auto description = std::to_string(size) + " bytes, cut at " + std::to_string(cut);
+                CPPUNIT_ASSERT_MESSAGE(description, loopback.receives(size > 300 ? " 431 " : "/a"));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(description, size > 300, loopback.exchanges.empty());
+            }
+        }
+    }
+
     /** Beast throws for a field of more than 65,533 bytes, and nothing caught that: where an operator allows such
      * heads, one request ended the process. */
     void fieldBeyondTheLibrarysLimitIsRefused()
