steering: log what becomes of reports of ended servers

"server_checked" has the outcome of that check, "crash_report_dropped" the report that is given up. A connection reaches the queue of a listening socket that the ending process closes an instant later, so a check without a settle time takes the server for alive.

--- a/libs/entry/include/entry/ServerConnections.h
+++ b/libs/entry/include/entry/ServerConnections.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "base/EnumNames.h"
 #include "base/Ids.h"
 #include "http/ClientConnection.h"
 #include "steering/ListedServer.h"
@@ -39,6 +40,13 @@
     Failed, // It took too long or broke, for whatever reason.
 };
 
+template <>
+inline constexpr EnumNameTable<ConnectOutcome, 3> enumNames<ConnectOutcome> { {
+    { ConnectOutcome::Connected, "connected" },
+    { ConnectOutcome::Refused, "refused" },
+    { ConnectOutcome::Failed, "failed" },
+} };
+
 /** Not thread-safe. */
 class ServerConnections {
 public:
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -313,9 +313,16 @@
 {
     m_connections.tryConnect(request.address, Duration { 0 },
         [this, isAlive = m_isAlive, report = CrashReport { request.content, request.server },
-            hasResponse = request.hasResponse](ConnectOutcome outcome) {
+            hasResponse = request.hasResponse, id = request.id](ConnectOutcome outcome) {
+            if (!*isAlive)
+                return;
+            m_log.write(LogLevel::Info,
+                LogLine("server_checked")
+                    .add("request", id)
+                    .add("server", report.server)
+                    .add("outcome", enumName(outcome)));
             // The response has removed all reports of the request; a late one must not follow it.
-            if (*isAlive && outcome == ConnectOutcome::Refused && !*hasResponse)
+            if (outcome == ConnectOutcome::Refused && !*hasResponse)
                 perform(m_steering.serverEnded(report, steadyNow()));
         });
 }
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -349,6 +349,7 @@
     /** Follows a change of ServerReach. */
     void followReach(TimePoint now, SteeringActions&);
     void observeCrash(const CrashReport&, TimePoint now);
+    void logDroppedCrash(const CrashReport&) const;
     void enqueue(Request&, TimePoint now, SteeringActions&);
     Duration expectedWait(const Request&, TimePoint now);
     /** Whether a request may stay in the queue if its expected wait is @p wait. */
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -531,7 +531,8 @@
             entry->pool.forgetFailures();
         return;
     }
-    m_unconfirmedCrashes.clear();
+    for (const auto& report : std::exchange(m_unconfirmedCrashes, {}))
+        logDroppedCrash(report);
     for (const auto& [id, entry] : m_services) {
         for (auto* request : std::exchange(entry->queue, {})) {
             request->isQueued = false;
@@ -544,8 +545,10 @@
 SteeringActions TrafficSteering::serverEnded(const CrashReport& report, TimePoint now)
 {
     SteeringActions actions;
-    if (m_reach.isDetached())
+    if (m_reach.isDetached()) {
+        logDroppedCrash(report);
         return actions;
+    }
     std::vector<const ListedServer*> servers;
     for (const auto& [id, entry] : m_services)
         entry->pool.addUsableServers(servers);
@@ -559,6 +562,15 @@
     return actions;
 }
 
+void TrafficSteering::logDroppedCrash(const CrashReport& report) const
+{
+    m_log.write(LogLevel::Info,
+        LogLine("crash_report_dropped")
+            .add("server", report.server)
+            .add("content", fmt::format("{:016x}", report.content))
+            .add("reason", "detached"));
+}
+
 void TrafficSteering::observeCrash(const CrashReport& report, TimePoint now)
 {
     m_crashes.observe(report, now);
