steering: a server that starts again under its id can end again

Servers that start again under their ids and end again added no report, so with fewer than three servers the third could not come.

A report without one is no further end if another report names its server.

--- a/libs/entry/include/entry/RequestGateway.h
+++ b/libs/entry/include/entry/RequestGateway.h
@@ -51,7 +51,8 @@
         bool isAtPeer = false; // The last send passed the request to another entry instance.
         std::optional<HttpResponse> response; // Response of the last finished send, if there was one.
         std::uint64_t content = 0; // As in CallerRequest.
-        BackendServerId server; // Server of the last send, and its address.
+        BackendServerId server; // Server of the last send, the start of it that was listed, and its address.
+        std::int64_t incarnation = 0;
         std::string address;
         // Whether one of the sends has ended with a response of a server that ran the request. A check whether a server
         // has ended may have its result after that, and after the request was answered.
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -211,6 +211,7 @@
     request.connection = connection;
     request.isAtPeer = false;
     request.server = send.server;
+    request.incarnation = send.incarnation;
     request.address = send.address;
     connection->send(
         m_protocol.requestToServer(request.exchange->request, send),
@@ -312,7 +313,7 @@
 void RequestGateway::checkServerEnded(const OpenRequest& request)
 {
     m_connections.tryConnect(request.address, Duration { 0 },
-        [this, isAlive = m_isAlive, report = CrashReport { request.content, request.server },
+        [this, isAlive = m_isAlive, report = CrashReport { request.content, request.server, request.incarnation },
             hasResponse = request.hasResponse, id = request.id](ConnectOutcome outcome) {
             if (!*isAlive)
                 return;
--- a/libs/steering/include/steering/CrashRegistry.h
+++ b/libs/steering/include/steering/CrashRegistry.h
@@ -16,6 +16,8 @@
 struct CrashReport {
     std::uint64_t content = 0; // Hash of the request's caller, method, path and body.
     BackendServerId server;
+    // The start that ended, as in ListedServer. 0 if it is unknown, as in reports of earlier builds.
+    std::int64_t incarnation = 0;
 
     auto operator<=>(const CrashReport&) const = default;
 };
@@ -27,7 +29,8 @@
 };
 
 struct CrashRegistryOptions {
-    // Any request may run at a server that ends for another reason. It is rarely there three times without a response.
+    // Ends of servers. Any request may run at a server that ends for another reason. It is rarely there three times
+    // without a response.
     std::size_t isolationThreshold = 3;
     // Reports are kept for a random time within these bounds, so that not all instances remove them at once.
     Duration minimumRetention = std::chrono::minutes { 30 };
@@ -36,8 +39,8 @@
 };
 
 /**
- * A request is isolated while reports of at least CrashRegistryOptions::isolationThreshold different servers are known
- * and none of its runs has ended with a response since. Not thread-safe.
+ * A request is isolated while at least CrashRegistryOptions::isolationThreshold ends of servers are known and none of
+ * its runs has ended with a response since. A server that starts again under its id can end again. Not thread-safe.
  */
 class CrashRegistry {
 public:
@@ -59,8 +62,10 @@
 
 private:
     struct Entry {
-        std::map<BackendServerId, TimePoint> servers; // With the end of the report's retention.
+        std::map<CrashReport, TimePoint> reports; // With the end of their retention, those of a server in a row.
         TimePoint newest {};
+
+        std::size_t ends() const;
     };
 
     bool insert(const CrashReport&, TimePoint now);
@@ -68,7 +73,7 @@
 
     const CrashRegistryOptions m_options;
     std::mt19937_64 m_random;
-    std::map<std::uint64_t, Entry> m_entries; // By content. No entry is without servers.
+    std::map<std::uint64_t, Entry> m_entries; // By content. No entry is without reports.
     CrashReportChanges m_changes;
 };
 
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -106,6 +106,7 @@
 struct SendToServer {
     RequestHandle request = 0;
     BackendServerId server;
+    std::int64_t incarnation = 0; // As in ListedServer.
     std::string address;
     WorkspaceId workspace; // Empty on open routes.
     Duration remainingTime { 0 }; // Time that the caller still waits for the final answer.
--- a/libs/steering/src/CrashRegistry.cpp
+++ b/libs/steering/src/CrashRegistry.cpp
@@ -11,13 +11,25 @@
 {
 }
 
+/** A report without an incarnation may be of an end that another one names. */
+std::size_t CrashRegistry::Entry::ends() const
+{
+    std::size_t count = reports.size();
+    for (const auto& [report, end] : reports) {
+        const auto isOther = [&](const auto& it) { return it.first.server == report.server && it.first != report; };
+        if (report.incarnation == 0 && std::any_of(reports.begin(), reports.end(), isOther))
+            --count;
+    }
+    return count;
+}
+
 bool CrashRegistry::insert(const CrashReport& report, TimePoint now)
 {
     std::uniform_int_distribution<Duration::rep> retention(
         m_options.minimumRetention.count(), m_options.maximumRetention.count());
     auto& entry = m_entries[report.content];
     entry.newest = std::max(entry.newest, now);
-    const auto isNew = entry.servers.try_emplace(report.server, now + Duration { retention(m_random) }).second;
+    const auto isNew = entry.reports.try_emplace(report, now + Duration { retention(m_random) }).second;
     limitSize();
     return isNew;
 }
@@ -41,8 +53,7 @@
     const auto it = m_entries.find(content);
     if (it == m_entries.end())
         return;
-    for (const auto& [server, end] : it->second.servers) {
-        const CrashReport report { content, server };
+    for (const auto& [report, end] : it->second.reports) {
         // A report that the other instances have not received needs no removal there.
         if (std::erase(m_changes.added, report) == 0)
             m_changes.removed.push_back(report);
@@ -57,33 +68,33 @@
     const auto it = m_entries.find(report.content);
     if (it == m_entries.end())
         return;
-    it->second.servers.erase(report.server);
-    if (it->second.servers.empty())
+    it->second.reports.erase(report);
+    if (it->second.reports.empty())
         m_entries.erase(it);
 }
 
 bool CrashRegistry::isIsolated(std::uint64_t content) const
 {
     const auto it = m_entries.find(content);
-    return it != m_entries.end() && it->second.servers.size() >= m_options.isolationThreshold;
+    return it != m_entries.end() && it->second.ends() >= m_options.isolationThreshold;
 }
 
 std::size_t CrashRegistry::isolatedRequests() const noexcept
 {
     return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(),
-        [&](const auto& it) { return it.second.servers.size() >= m_options.isolationThreshold; }));
+        [&](const auto& it) { return it.second.ends() >= m_options.isolationThreshold; }));
 }
 
 CrashReportChanges CrashRegistry::takeChanges(TimePoint now)
 {
     for (auto it = m_entries.begin(); it != m_entries.end();) {
-        std::erase_if(it->second.servers, [&](const auto& server) {
-            if (server.second > now)
+        std::erase_if(it->second.reports, [&](const auto& report) {
+            if (report.second > now)
                 return false;
-            m_changes.removed.push_back({ it->first, server.first });
+            m_changes.removed.push_back(report.first);
             return true;
         });
-        it = it->second.servers.empty() ? m_entries.erase(it) : std::next(it);
+        it = it->second.reports.empty() ? m_entries.erase(it) : std::next(it);
     }
     return std::exchange(m_changes, {});
 }
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -577,6 +577,7 @@
     m_log.write(LogLevel::Warning,
         LogLine("server_ended")
             .add("server", report.server)
+            .add("incarnation", report.incarnation)
             .add("content", fmt::format("{:016x}", report.content))
             .add("isolated", m_crashes.isIsolated(report.content)));
 }
@@ -879,6 +880,7 @@
     SendToServer action;
     action.request = request.handle;
     action.server = choice.server->id;
+    action.incarnation = choice.server->incarnation;
     action.address = choice.server->address;
     if (request.workspace())
         action.workspace = request.workspace()->id;
--- a/libs/steering/tests/CrashRegistryTest.cpp
+++ b/libs/steering/tests/CrashRegistryTest.cpp
@@ -24,6 +24,8 @@
 class CrashRegistryTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(CrashRegistryTest);
     CPPUNIT_TEST(threeDifferentServersIsolateARequest);
+    CPPUNIT_TEST(serverThatStartsAgainCanEndAgain);
+    CPPUNIT_TEST(reportWithoutIncarnationIsNoFurtherEnd);
     CPPUNIT_TEST(responseExoneratesARequest);
     CPPUNIT_TEST(reportsOfAllInstancesCountTogether);
     CPPUNIT_TEST(oldReportsAreRemovedEverywhere);
@@ -46,6 +48,39 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, registry.takeChanges(start).added.size());
     }
 
+    /** With fewer than three servers, which start again under their ids, a request that ends them was never isolated
+     *  (BUDGET, review/8). */
+    void serverThatStartsAgainCanEndAgain()
+    {
+        for (const int servers : { 1, 2 }) {
+            CrashRegistry registry({}, 1);
+            for (int i = 0; i < 3; ++i) {
+                CPPUNIT_ASSERT(!registry.isIsolated(harmful));
+                auto report = crash(i % servers);
+                report.incarnation = 100 + i;
+                registry.observe(report, start);
+                registry.observe(report, start); // Another copy of the request was there.
+            }
+            CPPUNIT_ASSERT(registry.isIsolated(harmful));
+            registry.completed(harmful);
+            CPPUNIT_ASSERT(!registry.isIsolated(harmful));
+        }
+    }
+
+    /** Instances of an earlier build report the id of the server only. */
+    void reportWithoutIncarnationIsNoFurtherEnd()
+    {
+        CrashRegistry registry({}, 1);
+        registry.add(crash(1), start);
+        auto report = crash(1);
+        for (report.incarnation = 100; report.incarnation < 102; ++report.incarnation) {
+            registry.observe(report, start);
+            CPPUNIT_ASSERT(!registry.isIsolated(harmful));
+        }
+        registry.observe(report, start);
+        CPPUNIT_ASSERT(registry.isIsolated(harmful));
+    }
+
     /** A popular request is often at servers that end for other reasons. */
     void responseExoneratesARequest()
     {
