steering: reports of ended servers wait for evidence

A process that ends closes its connections an instant before its listening socket, whose queue still takes the check's connection.

Change: the connection of the check has to last (30 ms, as for probes), and CrashSuspicions keeps a report until there is evidence that the server has ended: a later start of it in the list of servers, or one at its address; or, of connection attempts that begin together, the one to the server is refused and one to another address succeeds. A report is dropped when the server accepts connections and no later start of it is listed within 5 s, or after 30 s. At most 1,000 wait. None of this holds for an instance that lost its links: everything is refused then, and the servers come back with the start that they had.

Tests: requestThatEndsAllServersIsIsolated (one, two, three and five servers that start again under their ids, with and without the late end) failed on and on with 10 arrivals at one server, and passes. requestsOfServersThatAreBackWithTheirStartAreNotIsolated and CrashSuspicionsTest guard the other side. ServerConnectionsTest expects Broken, the more exact outcome, for connections that are accepted and then closed.

Cost: no connection without lost sends. After one, a connection that lasts 30 ms longer than before, and per second, while reports wait, three probes and up to eight connections.

--- a/libs/entry/include/entry/RequestGateway.h
+++ b/libs/entry/include/entry/RequestGateway.h
@@ -63,6 +63,7 @@
     void perform(const SendToServer&);
     void perform(const PassToInstance&);
     void perform(const ProbeServer&);
+    void perform(const CheckServer&);
     void perform(const CancelSend&);
     void perform(const WithdrawSend&);
     void perform(const DeliverResponse&);
@@ -71,9 +72,9 @@
     void reportUnsent(RequestHandle, DispatchResult, std::string detail);
     void passFinished(RequestHandle, const std::shared_ptr<ClientConnection>&, ExchangeResult);
     void sendFinished(RequestHandle, const std::shared_ptr<ClientConnection>&, ExchangeResult);
-    /** Reports to TrafficSteering if the server of the request's last send, which ended without a response, has ended.
-     */
-    void checkServerEnded(const OpenRequest&);
+    /** Tells TrafficSteering whether the server of the request's last send, which ended without a response, accepts
+     *  connections. */
+    void checkServer(const OpenRequest&);
     /** Passes the report to TrafficSteering and performs the actions that it returns. */
     void report(RequestHandle, const SendReport&);
     void answer(RequestHandle, HttpResponse);
--- a/libs/entry/include/entry/ServerConnections.h
+++ b/libs/entry/include/entry/ServerConnections.h
@@ -2,9 +2,9 @@
 
 #pragma once
 
-#include "base/EnumNames.h"
 #include "base/Ids.h"
 #include "http/ClientConnection.h"
+#include "steering/ConnectOutcome.h"
 #include "steering/ListedServer.h"
 
 #include <boost/asio/io_context.hpp>
@@ -34,19 +34,6 @@
     Duration attemptTimeout = std::chrono::milliseconds { 300 };
 };
 
-enum class ConnectOutcome {
-    Connected,
-    Refused, // No process listens at the address.
-    Failed, // It took too long or broke, for whatever reason.
-};
-
-template <>
-inline constexpr EnumNameTable<ConnectOutcome, 3> enumNames<ConnectOutcome> { {
-    { ConnectOutcome::Connected, "connected" },
-    { ConnectOutcome::Refused, "refused" },
-    { ConnectOutcome::Failed, "failed" },
-} };
-
 /** Not thread-safe. */
 class ServerConnections {
 public:
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -275,9 +275,18 @@
 void RequestGateway::perform(const ProbeServer& probe)
 {
     m_connections.tryConnect(probe.address, probe.isUrgent ? Duration { 0 } : probeSettleTime,
-        [this, isAlive = m_isAlive, round = probe.round](ConnectOutcome outcome) {
+        [this, isAlive = m_isAlive, probe](ConnectOutcome outcome) {
             if (*isAlive)
-                perform(m_steering.probed(round, outcome == ConnectOutcome::Connected, steadyNow()));
+                perform(m_steering.probed(probe, outcome, steadyNow()));
+        });
+}
+
+void RequestGateway::perform(const CheckServer& check)
+{
+    m_connections.tryConnect(
+        check.address, probeSettleTime, [this, isAlive = m_isAlive, check](ConnectOutcome outcome) {
+            if (*isAlive)
+                m_steering.checked(check, outcome, steadyNow());
         });
 }
 
@@ -305,16 +314,17 @@
     } else {
         recordFailure(result.error(), m_connections, sendReport);
         if (result.error().wasSent)
-            checkServerEnded(it->second);
+            checkServer(it->second);
     }
     report(handle, sendReport);
 }
 
-void RequestGateway::checkServerEnded(const OpenRequest& request)
+void RequestGateway::checkServer(const OpenRequest& request)
 {
-    m_connections.tryConnect(request.address, Duration { 0 },
+    // A process that ends may still have accepted the connection.
+    m_connections.tryConnect(request.address, probeSettleTime,
         [this, isAlive = m_isAlive, report = CrashReport { request.content, request.server, request.incarnation },
-            hasResponse = request.hasResponse, id = request.id](ConnectOutcome outcome) {
+            address = request.address, hasResponse = request.hasResponse, id = request.id](ConnectOutcome outcome) {
             if (!*isAlive)
                 return;
             m_log.write(LogLevel::Info,
@@ -323,8 +333,8 @@
                     .add("server", report.server)
                     .add("outcome", enumName(outcome)));
             // The response has removed all reports of the request; a late one must not follow it.
-            if (outcome == ConnectOutcome::Refused && !*hasResponse)
-                perform(m_steering.serverEnded(report, steadyNow()));
+            if (!*hasResponse)
+                perform(m_steering.sendLost(report, address, outcome, steadyNow()));
         });
 }
 
--- a/libs/entry/src/ServerConnections.cpp
+++ b/libs/entry/src/ServerConnections.cpp
@@ -168,11 +168,11 @@
         }
         // A server sends nothing before a request, so that any end of the read is one of the connection.
         attempt->socket.async_read_some(asio::buffer(&attempt->byte, 1),
-            [finish](const error_code&, std::size_t) { finish(ConnectOutcome::Failed); });
+            [finish](const error_code&, std::size_t) { finish(ConnectOutcome::Broken); });
         attempt->timer.expires_after(settleTime);
         attempt->timer.async_wait([finish, attempt](const error_code& timerEc) {
             if (!timerEc)
-                finish(isReadable(attempt->socket) ? ConnectOutcome::Failed : ConnectOutcome::Connected);
+                finish(isReadable(attempt->socket) ? ConnectOutcome::Broken : ConnectOutcome::Connected);
         });
     });
 }
--- a/libs/steering/include/steering/ServerReach.h
+++ b/libs/steering/include/steering/ServerReach.h
@@ -37,6 +37,8 @@
     }
 
     bool isDetached() const noexcept { return m_isDetached; }
+    /** Whether the last round reached no server, and one more has to decide. */
+    bool isInDoubt() const noexcept { return m_failedRounds > 0 && !m_isDetached; }
     /** Whether a server has responded not long ago, although the instance may be unable to open connections. */
     bool hasResponses(TimePoint now) const noexcept { return now - m_lastResponse < m_options.silence; }
     Duration silence() const noexcept { return m_options.silence; }
--- a/libs/steering/include/steering/TrafficSteering.h
+++ b/libs/steering/include/steering/TrafficSteering.h
@@ -8,6 +8,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "steering/CrashRegistry.h"
+#include "steering/CrashSuspicions.h"
 #include "steering/KnowledgeGuard.h"
 #include "steering/LateAttemptDetector.h"
 #include "steering/ListedServer.h"
@@ -132,6 +133,12 @@
     bool isUrgent = false; // An accepted connection is enough; it does not have to last.
 };
 
+/** Instructs the caller of TrafficSteering to open a connection to a server that may have ended, and call checked(). */
+struct CheckServer {
+    std::uint64_t round = 0;
+    std::string address;
+};
+
 /** Instructs the caller of TrafficSteering to close the connection of the running send without a SendReport. */
 struct CancelSend {
     RequestHandle request = 0;
@@ -154,8 +161,8 @@
     Duration retryAfter { 0 }; // 0 if no Retry-After is stated.
 };
 
-using SteeringAction
-    = std::variant<SendToServer, PassToInstance, ProbeServer, CancelSend, WithdrawSend, DeliverResponse, RejectRequest>;
+using SteeringAction = std::variant<SendToServer, PassToInstance, ProbeServer, CheckServer, CancelSend, WithdrawSend,
+    DeliverResponse, RejectRequest>;
 using SteeringActions = std::vector<SteeringAction>;
 
 struct SendReport {
@@ -186,6 +193,7 @@
     KnowledgeGuardOptions knowledge {};
     ServerReachOptions reach {};
     CrashRegistryOptions crashes {};
+    CrashSuspicionsOptions suspicions {};
     Duration retryWindow = std::chrono::seconds { 10 };
     // A request that will miss its target latency is queued only if its expected end lies within this share of its
     // remaining time.
@@ -275,9 +283,11 @@
     void learn(const std::vector<ServerNotice>&, TimePoint now);
     /** Whether this instance reaches no server. It then passes requests on to other instances. */
     bool isDetached() const noexcept { return m_reach.isDetached(); }
-    /** Records that a server has ended while a request ran there. The report counts once another server was reached,
-     *  because a connection is also refused if this instance is cut off. */
-    SteeringActions serverEnded(const CrashReport&, TimePoint now);
+    /** A request was sent to the server at @p address, the connection ended without a response, and an attempt to open
+     *  another one ended with @p outcome. The report counts once there is evidence that the server has ended. */
+    SteeringActions sendLost(const CrashReport&, const std::string& address, ConnectOutcome outcome, TimePoint now);
+    /** Reports of ended servers that wait for evidence. */
+    std::size_t suspectedCrashes() const noexcept { return m_suspicions.size(); }
     /** Records that an attempt to confirm the routes, servers and evacuations, which began at @p start, has ended. */
     void knowledgeConfirmed(TimePoint start) noexcept { m_knowledge.confirmed(start); }
     /** Since when a newer state of the operators is known to exist that is not in force here. */
@@ -287,7 +297,8 @@
     /** Starts handling a request. The actions for it are returned by this call or by later ones. */
     SteeringActions begin(RequestHandle, const CallerRequest&, TimePoint now);
     /** Handles the result of a probe. */
-    SteeringActions probed(std::uint64_t round, bool didConnect, TimePoint now);
+    SteeringActions probed(const ProbeServer&, ConnectOutcome, TimePoint now);
+    void checked(const CheckServer&, ConnectOutcome, TimePoint now);
     /** Handles the result of a send. Ignored if the request is not running at a server. */
     SteeringActions finished(RequestHandle, const SendReport&, TimePoint now);
     /** Ends a request whose caller has closed its connection. A running send is cancelled. */
@@ -350,7 +361,8 @@
     /** Follows a change of ServerReach. */
     void followReach(TimePoint now, SteeringActions&);
     void observeCrash(const CrashReport&, TimePoint now);
-    void logDroppedCrash(const CrashReport&) const;
+    void observeConfirmedCrashes(TimePoint now);
+    void dropSuspicions(TimePoint now);
     void enqueue(Request&, TimePoint now, SteeringActions&);
     Duration expectedWait(const Request&, TimePoint now);
     /** Whether a request may stay in the queue if its expected wait is @p wait. */
@@ -397,7 +409,7 @@
     LateAttemptDetector m_lateAttempts;
     QuotaGate m_quotas;
     CrashRegistry m_crashes;
-    std::vector<CrashReport> m_unconfirmedCrashes; // See serverEnded().
+    CrashSuspicions m_suspicions;
     ServerReach m_reach;
     bool m_wasDetached = false; // As followReach() last saw it.
     std::mt19937_64 m_random; // Selects instances and servers to probe.
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -162,6 +162,7 @@
     , m_knowledge(m_options.knowledge)
     , m_quotas(seed)
     , m_crashes(m_options.crashes, seed)
+    , m_suspicions(m_options.suspicions)
     , m_reach(m_options.reach)
     , m_random(seed)
     , m_split(std::make_unique<SplitSelector>())
@@ -207,6 +208,8 @@
         service(id);
     for (const auto& [id, entry] : m_services)
         entry->pool.setServers(byService[id], now);
+    m_suspicions.listed(servers);
+    observeConfirmedCrashes(now);
     configureServices();
 }
 
@@ -499,27 +502,35 @@
     std::set<FailureDomainId> domains;
     std::stable_partition(servers.begin(), servers.end(),
         [&](const ListedServer* it) { return domains.insert(it->failureDomain).second; });
+    std::stable_partition(servers.begin(), servers.end(),
+        [suspected = m_suspicions.addresses()](const ListedServer* it) { return !suspected.contains(it->address); });
     servers.resize(std::min(servers.size(), ServerReach::s_probesPerRound));
-    if (servers.empty())
+    if (servers.empty() && m_suspicions.isEmpty())
         return;
     const auto round = m_reach.beginRound(servers.size(), now);
     for (const auto* server : servers)
         actions.emplace_back(ProbeServer { round, server->address, isUrgent });
+    for (auto& address : m_suspicions.beginRound(round, now))
+        actions.emplace_back(CheckServer { round, std::move(address) });
 }
 
-SteeringActions TrafficSteering::probed(std::uint64_t round, bool didConnect, TimePoint now)
+SteeringActions TrafficSteering::probed(const ProbeServer& probe, ConnectOutcome outcome, TimePoint now)
 {
     SteeringActions actions;
     m_knowledge.eventBegins(now);
-    m_reach.probed(round, didConnect, now);
-    if (didConnect) {
-        for (const auto& report : std::exchange(m_unconfirmedCrashes, {}))
-            observeCrash(report, now);
-    }
+    m_reach.probed(probe.round, outcome == ConnectOutcome::Connected, now);
+    m_suspicions.connectEnded(probe.round, probe.address, outcome, now);
+    observeConfirmedCrashes(now);
     followReach(now, actions);
     return actions;
 }
 
+void TrafficSteering::checked(const CheckServer& check, ConnectOutcome outcome, TimePoint now)
+{
+    m_suspicions.connectEnded(check.round, check.address, outcome, now);
+    observeConfirmedCrashes(now);
+}
+
 void TrafficSteering::followReach(TimePoint now, SteeringActions& actions)
 {
     if (std::exchange(m_wasDetached, m_reach.isDetached()) == m_reach.isDetached())
@@ -531,8 +542,6 @@
             entry->pool.forgetFailures();
         return;
     }
-    for (const auto& report : std::exchange(m_unconfirmedCrashes, {}))
-        logDroppedCrash(report);
     for (const auto& [id, entry] : m_services) {
         for (auto* request : std::exchange(entry->queue, {})) {
             request->isQueued = false;
@@ -542,33 +551,42 @@
     withdrawSends({}, actions);
 }
 
-SteeringActions TrafficSteering::serverEnded(const CrashReport& report, TimePoint now)
+SteeringActions TrafficSteering::sendLost(
+    const CrashReport& report, const std::string& address, ConnectOutcome outcome, TimePoint now)
 {
     SteeringActions actions;
-    if (m_reach.isDetached()) {
-        logDroppedCrash(report);
-        return actions;
-    }
-    std::vector<const ListedServer*> servers;
-    for (const auto& [id, entry] : m_services)
-        entry->pool.addUsableServers(servers);
-    if (std::none_of(servers.begin(), servers.end(), [&](const auto* it) { return it->id != report.server; })) {
-        observeCrash(report, now);
+    // A process that has ended leaves an address that refuses; one that ends now may still accept a connection.
+    if (outcome != ConnectOutcome::Refused && outcome != ConnectOutcome::Broken)
         return actions;
+    m_suspicions.add(report, address, now);
+    // The server may have started again already.
+    for (const auto& [id, entry] : m_services) {
+        if (const auto* server = entry->pool.find(report.server))
+            m_suspicions.listed({ *server });
     }
-    m_unconfirmedCrashes.push_back(report);
-    if (!m_reach.isProbing())
-        beginProbes(true, now, actions);
+    observeConfirmedCrashes(now);
+    // Where connections are accepted and then broken, one has to last to show that a server is reached.
+    if (!m_suspicions.isEmpty() && !m_reach.isProbing())
+        beginProbes(outcome == ConnectOutcome::Refused && !m_reach.isDetached(), now, actions);
     return actions;
 }
 
-void TrafficSteering::logDroppedCrash(const CrashReport& report) const
+void TrafficSteering::observeConfirmedCrashes(TimePoint now)
 {
-    m_log.write(LogLevel::Info,
-        LogLine("crash_report_dropped")
-            .add("server", report.server)
-            .add("content", fmt::format("{:016x}", report.content))
-            .add("reason", "detached"));
+    for (const auto& report : m_suspicions.takeConfirmed())
+        observeCrash(report, now);
+}
+
+void TrafficSteering::dropSuspicions(TimePoint now)
+{
+    for (const auto& [report, reason] : m_suspicions.takeDropped(now)) {
+        m_log.write(LogLevel::Info,
+            LogLine("crash_report_dropped")
+                .add("server", report.server)
+                .add("incarnation", report.incarnation)
+                .add("content", fmt::format("{:016x}", report.content))
+                .add("reason", enumName(reason)));
+    }
 }
 
 void TrafficSteering::observeCrash(const CrashReport& report, TimePoint now)
@@ -956,8 +974,10 @@
         || report.result == DispatchResult::NotSent || report.result == DispatchResult::Withdrawn;
     if (!hasNotRun)
         ++request.runs;
-    if (report.result == DispatchResult::Succeeded || report.result == DispatchResult::ServerError)
+    if (report.result == DispatchResult::Succeeded || report.result == DispatchResult::ServerError) {
+        m_suspicions.completed(request.content);
         m_crashes.completed(request.content);
+    }
     if (report.result == DispatchResult::Withdrawn)
         --request.sends;
     else if (report.result != DispatchResult::Succeeded)
@@ -1163,8 +1183,9 @@
     m_reach.observeSilence(silent.size(), now);
     if (m_reach.isRoundDue(now))
         beginProbes(false, now, actions);
-    else if (!m_unconfirmedCrashes.empty() && !m_reach.isProbing())
-        beginProbes(true, now, actions);
+    else if (!m_reach.isProbing() && (m_suspicions.isRoundDue(now) || (!m_suspicions.isEmpty() && m_reach.isInDoubt())))
+        beginProbes(false, now, actions);
+    dropSuspicions(now);
     endOverdue(now, mayHaveResponse, actions);
     if (std::exchange(m_withdrawsSends, false))
         withdrawSends({}, actions);
