steering: build with clang, and one branch for probes that are due

clang 14 captures no structured bindings in lambdas, and clang-tidy reports the two equal branches. steering-tests, detached-instance-tests and crash-isolation-tests pass.

--- a/libs/steering/include/steering/CrashRegistry.h
+++ b/libs/steering/include/steering/CrashRegistry.h
@@ -65,6 +65,8 @@
         std::map<CrashReport, TimePoint> reports; // With the end of their retention, those of a server in a row.
         TimePoint newest {};
 
+        /** Whether there is another report of the same server. */
+        bool hasOtherReport(const CrashReport&) const;
         std::size_t ends() const;
     };
 
--- a/libs/steering/src/CrashRegistry.cpp
+++ b/libs/steering/src/CrashRegistry.cpp
@@ -11,13 +11,18 @@
 {
 }
 
+bool CrashRegistry::Entry::hasOtherReport(const CrashReport& report) const
+{
+    return std::any_of(reports.begin(), reports.end(),
+        [&](const auto& it) { return it.first.server == report.server && it.first != report; });
+}
+
 /** A report without an incarnation may be of an end that another one names. */
 std::size_t CrashRegistry::Entry::ends() const
 {
     std::size_t count = reports.size();
     for (const auto& [report, end] : reports) {
-        const auto isOther = [&](const auto& it) { return it.first.server == report.server && it.first != report; };
-        if (report.incarnation == 0 && std::any_of(reports.begin(), reports.end(), isOther))
+        if (report.incarnation == 0 && hasOtherReport(report))
             --count;
     }
     return count;
--- a/libs/steering/src/TrafficSteering.cpp
+++ b/libs/steering/src/TrafficSteering.cpp
@@ -1181,9 +1181,8 @@
             silent.insert(*request->runningAt);
     }
     m_reach.observeSilence(silent.size(), now);
-    if (m_reach.isRoundDue(now))
-        beginProbes(false, now, actions);
-    else if (!m_reach.isProbing() && (m_suspicions.isRoundDue(now) || (!m_suspicions.isEmpty() && m_reach.isInDoubt())))
+    const bool isCheckDue = m_suspicions.isRoundDue(now) || (!m_suspicions.isEmpty() && m_reach.isInDoubt());
+    if (m_reach.isRoundDue(now) || (isCheckDue && !m_reach.isProbing()))
         beginProbes(false, now, actions);
     dropSuspicions(now);
     endOverdue(now, mayHaveResponse, actions);
