steering: sends that were open together count as one end

Found on reading again; no report of a caller. If all servers end at once, for example with their power, a popular request is open at several of them. Its reports, which were dropped before, are now confirmed by the servers' later starts: three of them, and the request is refused everywhere for 30 to 60 minutes, because nothing clears it while it isn't sent. The same holds for servers that end behind a cut of their links.

CrashRegistry counts sends that don't overlap. The repeats and attempts of a request that ends servers come one after the other, so they count as before. Reports without times, as those of earlier builds, count one each.

Tests: popularRequestIsNotIsolatedWhenAllServersEnd and sendsThatWereOpenTogetherCountOnce fail if overlapping sends count (checked on a scratch state), and pass; so do steering-tests, crash-isolation-tests and platform-adapter-tests.

--- a/libs/entry/include/entry/RequestGateway.h
+++ b/libs/entry/include/entry/RequestGateway.h
@@ -54,6 +54,7 @@
         BackendServerId server; // Server of the last send, the start of it that was listed, and its address.
         std::int64_t incarnation = 0;
         std::string address;
+        std::chrono::milliseconds sentAt { 0 }; // As in LostSend.
         // Whether one of the sends has ended with a response of a server that ran the request. A check whether a server
         // has ended may have its result after that, and after the request was answered.
         std::shared_ptr<bool> hasResponse = std::make_shared<bool>(false);
--- a/libs/entry/src/RequestGateway.cpp
+++ b/libs/entry/src/RequestGateway.cpp
@@ -53,6 +53,12 @@
         return content == 0 ? 1 : content; // 0 stands for unknown.
     }
 
+    std::chrono::milliseconds unixTime()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+    }
+
     /** Whether nothing but the end of the connection delimits the body. */
     bool endsWithConnection(const HttpResponse& response)
     {
@@ -212,6 +218,7 @@
     request.isAtPeer = false;
     request.server = send.server;
     request.incarnation = send.incarnation;
+    request.sentAt = unixTime();
     request.address = send.address;
     connection->send(
         m_protocol.requestToServer(request.exchange->request, send),
@@ -323,7 +330,9 @@
 {
     // A process that ends may still have accepted the connection.
     m_connections.tryConnect(request.address, probeSettleTime,
-        [this, isAlive = m_isAlive, report = CrashReport { request.content, request.server, request.incarnation },
+        [this, isAlive = m_isAlive,
+            report = CrashReport { request.content, request.server, request.incarnation,
+                LostSend { request.sentAt, unixTime() } },
             address = request.address, hasResponse = request.hasResponse, id = request.id](ConnectOutcome outcome) {
             if (!*isAlive)
                 return;
--- a/libs/entry/tests/CrashIsolationTest.cpp
+++ b/libs/entry/tests/CrashIsolationTest.cpp
@@ -22,6 +22,7 @@
 
 enum class Behaviour {
     Answer,
+    Hold, // Answers nothing until the server ends.
     EndProcess, // Closes the listening socket and all connections, as the kernel does for a process that has crashed.
     EndProcessLate, // As EndProcess, but the listening socket is closed an instant after the connections.
     CloseConnection,
@@ -59,6 +60,11 @@
     bool hasEnded() const { return !m_acceptor.is_open(); }
     bool isQueueFull() const { return m_queued.is_open(); }
     void end() { m_acceptor.close(); }
+    void endWithConnections()
+    {
+        end();
+        closeConnections();
+    }
 
 private:
     struct Connection {
@@ -116,8 +122,9 @@
             m_end.async_wait([this](const error_code&) { m_acceptor.close(); });
             return;
         case Behaviour::EndProcess:
-            m_acceptor.close();
-            closeConnections();
+            endWithConnections();
+            return;
+        case Behaviour::Hold:
             return;
         case Behaviour::StopAccepting:
             m_acceptor.cancel();
@@ -261,6 +268,7 @@
     CPPUNIT_TEST(lostConnectionsDoNotIsolateRequests);
     CPPUNIT_TEST(requestThatEndsAllServersIsIsolated);
     CPPUNIT_TEST(requestsOfServersThatAreBackWithTheirStartAreNotIsolated);
+    CPPUNIT_TEST(popularRequestIsNotIsolatedWhenAllServersEnd);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -445,6 +453,31 @@
             CPPUNIT_ASSERT_MESSAGE(std::to_string(count) + harness.received, hasStatus(harness.received, 200));
         }
     }
+
+    /** All servers lose power, and start again, while copies of a request are open at each. */
+    void popularRequestIsNotIsolatedWhenAllServersEnd()
+    {
+        constexpr int count = 5;
+        constexpr int copies = 15;
+        CrashHarness harness({}, count);
+        harness.listStarts();
+        harness.decide = [](const std::string&) { return Behaviour::Hold; };
+        for (int i = 0; i < copies; ++i)
+            harness.send("/popular");
+        CPPUNIT_ASSERT(harness.runUntil([&] { return harness.arrivals["/popular"] == copies; }));
+        for (const auto& server : harness.servers)
+            server->endWithConnections();
+        CPPUNIT_ASSERT(harness.runUntil([&] { return harness.gateway.openRequests() == 0; }));
+        harness.decide = [](const std::string&) { return Behaviour::Answer; };
+        harness.runUntil([] { return false; }, std::chrono::milliseconds { 100 });
+        harness.restartServers();
+        CPPUNIT_ASSERT(harness.runUntil([&] { return !harness.steering.isDetached(); }));
+        CPPUNIT_ASSERT(!harness.steering.crashes().takeChanges(steadyNow()).added.empty());
+        harness.received.clear();
+        harness.send("/popular");
+        CPPUNIT_ASSERT(harness.runUntil([&] { return !harness.received.empty(); }));
+        CPPUNIT_ASSERT_MESSAGE(harness.received, hasStatus(harness.received, 200));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashIsolationTest);
--- a/libs/steering/include/steering/CrashRegistry.h
+++ b/libs/steering/include/steering/CrashRegistry.h
@@ -5,21 +5,35 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
+#include <tuple>
 #include <vector>
 
 namespace peridot {
 
+/** Times of a send that ended without a response, since the Unix epoch and by the clock of the instance. */
+struct LostSend {
+    std::chrono::milliseconds sentAt { 0 };
+    std::chrono::milliseconds lostAt { 0 };
+
+    bool operator==(const LostSend&) const = default;
+};
+
 /** A backend server ended while a request ran there. */
 struct CrashReport {
     std::uint64_t content = 0; // Hash of the request's caller, method, path and body.
     BackendServerId server;
     // The start that ended, as in ListedServer. 0 if it is unknown, as in reports of earlier builds.
     std::int64_t incarnation = 0;
+    std::optional<LostSend> send {}; // Unset in reports of earlier builds. It makes no other report.
 
-    auto operator<=>(const CrashReport&) const = default;
+    auto identity() const noexcept { return std::tie(content, server, incarnation); }
+    bool operator==(const CrashReport& other) const { return identity() == other.identity(); }
+    auto operator<=>(const CrashReport& other) const { return identity() <=> other.identity(); }
 };
 
 /** Changes for the other instances. */
@@ -40,7 +54,8 @@
 
 /**
  * A request is isolated while at least CrashRegistryOptions::isolationThreshold ends of servers are known and none of
- * its runs has ended with a response since. A server that starts again under its id can end again. Not thread-safe.
+ * its runs has ended with a response since. A server that starts again under its id can end again. Sends that were open
+ * at the same time count once, because one cause may have ended several servers, or the links to them. Not thread-safe.
  */
 class CrashRegistry {
 public:
--- a/libs/steering/src/CrashRegistry.cpp
+++ b/libs/steering/src/CrashRegistry.cpp
@@ -17,13 +17,26 @@
         [&](const auto& it) { return it.first.server == report.server && it.first != report; });
 }
 
-/** A report without an incarnation may be of an end that another one names. */
 std::size_t CrashRegistry::Entry::ends() const
 {
-    std::size_t count = reports.size();
+    std::size_t count = 0;
+    std::vector<LostSend> sends;
     for (const auto& [report, end] : reports) {
+        // Without an incarnation it may be of an end that another report names.
         if (report.incarnation == 0 && hasOtherReport(report))
-            --count;
+            continue;
+        if (report.send)
+            sends.push_back(*report.send);
+        else
+            ++count;
+    }
+    std::sort(sends.begin(), sends.end(), [](const auto& a, const auto& b) { return a.lostAt < b.lostAt; });
+    std::optional<std::chrono::milliseconds> lastLoss;
+    for (const auto& send : sends) {
+        if (lastLoss && send.sentAt < *lastLoss)
+            continue;
+        lastLoss = send.lostAt;
+        ++count;
     }
     return count;
 }
--- a/libs/steering/tests/CrashRegistryTest.cpp
+++ b/libs/steering/tests/CrashRegistryTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(threeDifferentServersIsolateARequest);
     CPPUNIT_TEST(serverThatStartsAgainCanEndAgain);
     CPPUNIT_TEST(reportWithoutIncarnationIsNoFurtherEnd);
+    CPPUNIT_TEST(sendsThatWereOpenTogetherCountOnce);
     CPPUNIT_TEST(responseExoneratesARequest);
     CPPUNIT_TEST(reportsOfAllInstancesCountTogether);
     CPPUNIT_TEST(oldReportsAreRemovedEverywhere);
@@ -81,6 +82,25 @@
         CPPUNIT_ASSERT(registry.isIsolated(harmful));
     }
 
+    /** When all servers lose power, or end behind a cut, a popular request is open at several of them. It is not what
+     * ended them, and nothing would clear it while it is isolated. */
+    void sendsThatWereOpenTogetherCountOnce()
+    {
+        CrashRegistry registry({}, 1);
+        const auto observe = [&](int server, std::chrono::milliseconds sent, std::chrono::milliseconds lost) {
+            auto report = crash(server);
+            report.send = LostSend { sent, lost };
+            registry.observe(report, start);
+        };
+        for (int i = 0; i < 5; ++i)
+            observe(i, 1'000ms - i * 10ms, 1'001ms + i * 10ms);
+        CPPUNIT_ASSERT(!registry.isIsolated(harmful));
+        observe(5, 1'041ms, 1'100ms); // Sent once they were lost.
+        CPPUNIT_ASSERT(!registry.isIsolated(harmful));
+        observe(6, 1'100ms, 1'150ms);
+        CPPUNIT_ASSERT(registry.isIsolated(harmful));
+    }
+
     /** A popular request is often at servers that end for other reasons. */
     void responseExoneratesARequest()
     {
