--- a/libs/steering/src/CrashSuspicions.cpp
+++ b/libs/steering/src/CrashSuspicions.cpp
@@ -86,7 +86,7 @@
         suspected.insert(report.server.value());
         suspected.insert(suspicion.address);
     }
-    // A confirmed report takes its strings with it.
+    // takeEntry() erases reports, and with them the strings in the set.
     std::vector<const ListedServer*> entries;
     for (const auto& server : servers) {
         if (suspected.contains(server.id.value()) || suspected.contains(server.address))
